Cold nodes take a credit a front that adds up over all fronts; draws are bounded

Cause: each of hundreds of fronts could send one txn to a cold node at once, and tiny fronts' rate had a floor.

--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -52,7 +52,9 @@
 MET = 0.8  # a node that met the key lately may look this much worse
 QUIET, QUIET_SLA = 3.0, (0.25, 0.6)  # usual times of silence, and parts of SLA: a node is taken for lost
 HASTE = 1.3  # usual times that must be left of the SLA time for a submission to be worth it
-COLD_PART = 0.75  # of a cold node's budget that is used: unlike machines and heavy txns need the rest
+COLD_PART, COLD_MOST = 0.4, 0.8  # of the fall multiple, and times a warm node's load: the rest is for chance
+DRAWS = 6  # draws to find two nodes that may take a txn; enough where one in three may
+COLD_DRAWS = 3  # draws to find a cold node that may take a txn
 RATE_S = 3.0  # s; rates are counted over this
 OVER = 1.3  # times its share of what comes in: above it a customer is taken to be over its share
 EDGE_S = 0.011  # s; two batches' slack wherever a rule counts over a window
@@ -79,7 +81,9 @@
         self.chance, self.started, self.zone = Random(seed), now, terms.zone
         self.must_ask, self.ask_most_s = terms.must_ask, terms.ask_within_s / 4
         self.cold_from, self.cold_s = terms.cold_from, terms.cold_s
-        self.cold_multiple = terms.fall_multiple * COLD_PART
+        self.cold_load = min(COLD_MOST, COLD_PART * terms.fall_multiple)
+        self.cold: list[Seat] = []  # ready ones that may still be cold
+        self.cold_credit, self.cold_part, self.most_units = self.chance.random(), 0.0, 0.01
         self.max_submissions, self.may_recall = terms.max_submissions, terms.may_recall
         self.defer_s = terms.max_defer_s if terms.may_defer else 0.0
         self.over_worth = terms.over_share_worth
@@ -100,7 +104,8 @@
         self.counts, self.wrongs = deque(maxlen=60), deque(maxlen=60)  # by platform and clients
         self.lately: dict[Product, deque[float]] = {p: deque(maxlen=60) for p in terms.products}
         self.before: dict[Product, list[float]] = {}  # times just before the trial
-        self.rate_seen, self.key_floor, self.key_node = 0.0, {}, {}  # by key: newest release and last node
+        self.key_floor, self.key_node = {}, {}  # by key: newest release and last node
+        self.settles = Window(RATE_S)
         self.release: Release | None = None
         self.stage_at = self.vote_next = self.wake_at = now
         self.share, self.integral, self.error, self.bound = 0.0, 0.0, None, False
@@ -120,7 +125,7 @@
                 fresh.open, self.seats[node] = seat.open if seat else [], fresh
             node.release, node.zone, node.cell = line.release, line.zone, line.cell
             node.units, node.started, node.ready = max(line.units, 0.01), line.started, line.ready
-        self.arms()
+        self.arms(now)
         if not old:
             self.watching, self.asked = True, 0
 
@@ -133,6 +138,7 @@
         for window in (self.takes[None], self.takes[txn.product], self.customer_takes.get(txn.customer)):
             if window is not None:
                 window.add(now)
+        self.cold_credit = min(1.0, self.cold_credit + self.cold_part)
         self.seek(now, txn)
 
     def ended(self, now: float, sub: Submission, result: Result, took: float, final: bool) -> None:
@@ -164,6 +170,7 @@
         if self.must_ask and not self.watching and now >= self.ask_at:
             self.ask_at = now + self.ask_most_s
             self.orders.append((Verb.WATCH,))
+        self.warm(now)
         self.take_back(now)
         self.sweep(now)
         self.pump(now)
@@ -185,7 +192,7 @@
                 self.share = self.shares[release.stage]
             if release.phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
                 self.key_floor = {k: n for k, n in self.key_floor.items() if n < release.number}
-            self.arms()
+            self.arms(now)
 
     def counted(self, now: float, count: Count) -> None:
         self.counts.append(count)
@@ -193,7 +200,7 @@
     def wrong(self, now: float, node: Node, product: Product, age_s: float) -> None:
         self.wrongs.append(node.release)
 
-    def arms(self) -> None:
+    def arms(self, now: float) -> None:
         """The ready nodes, the newest release on trial apart; what is newer than any news is on trial."""
         ready, rel = [s for s in self.seats.values() if s.node.ready], self.release
         tried = 1 + min((s.node.release for s in ready), default=0)
@@ -202,6 +209,9 @@
         newest = max((s.node.release for s in ready), default=0)
         self.older = [s for s in ready if s.node.release < tried]
         self.trial = [s for s in ready if s.node.release == newest >= tried]
+        self.cold = [s for s in (*self.trial, *self.older) if s.warm_at > now]
+        self.most_units = max(self.most_units, sum(s.node.units for s in ready))
+        self.warm(now)
 
     def room(self, now: float, txn: Txn, share: float) -> bool:
         """True where one more submission to the trial keeps the window count within `share` and the cap."""
@@ -299,7 +309,7 @@
         share = inf if stays or not self.older else self.share
         for arm in (self.trial, self.older):
             open_ = arm and (arm is self.older or self.room(now, txn, share))
-            seat = self.pick(now, txn, arm, floor) if open_ else None
+            seat = (self.due(now, txn, arm, floor) or self.pick(now, txn, arm, floor)) if open_ else None
             if seat is not None:
                 self.submit(now, txn, seat)
                 return True
@@ -307,18 +317,25 @@
 
     def pick(self, now: float, txn: Txn, arm: list[Seat], floor: int) -> Seat | None:
         """Two random choices among an arm's nodes that may take one more, the lighter of the two."""
-        heed = sum(s.aside_until > now for s in arm) <= ASIDE_PART * len(arm)
         met = [s.node for s in txn.submissions]
-        known = self.key_node.get(txn.key) if self.warm_keys else None
-        order = self.chance.sample(arm, len(arm))
-        if met or known:
-            order.sort(key=lambda s: (s.node in met, s.node is not known))
-        fit = (s for s in order if not (heed and s.aside_until > now) and s.node.release >= floor
-               and self.fits(now, s) and self.grouped(txn, s.node))  # fmt: skip
-        found = [seat for _, seat in zip(range(2), fit, strict=False)]
-        if len(found) == 2 and found[1].node in met:
-            found.pop()
-        return min(found, key=lambda s: self.weight(now, s, txn), default=None)
+        known = self.seats.get(self.key_node.get(txn.key)) if self.warm_keys else None
+        drawn = [s for s in (known,) if s in arm] + self.chance.choices(arm, k=DRAWS)
+        found: list[Seat] = []
+        for seat in drawn:
+            if seat.warm_at <= now and seat not in found and seat.node not in met and self.open_to(now, txn, seat, floor):
+                found.append(seat)
+                if len(found) == 2:
+                    return min(found, key=lambda s: self.weight(now, s, txn))
+        if found:
+            return found[0]
+        start = self.chance.randrange(len(arm))  # few are open: the first that is, from a place drawn at random
+        around = (arm[i - len(arm)] for i in range(start, start + len(arm)))
+        return next((s for s in around if s.warm_at <= now and self.open_to(now, txn, s, floor)), None)
+
+    def open_to(self, now: float, txn: Txn, seat: Seat, floor: int) -> bool:
+        """True where this txn may go to this node now."""
+        clear = seat.aside_until <= now and seat.node.release >= floor
+        return clear and self.fits(now, seat) and self.grouped(txn, seat.node)
 
     def grouped(self, txn: Txn, node: Node) -> bool:
         """True where a node drops repeats of what the earlier submissions may have done."""
@@ -349,23 +366,31 @@
         """The least part of its capacity that a node can have reached by now."""
         return 1.0 - (1.0 - self.cold_from) * max(0.0, min(1.0, (seat.warm_at - now) / self.cold_s))
 
-    def warm_rate(self, now: float) -> float:
-        """Txns a second and unit that this front's warm nodes settle: what a like node surely can."""
-        warm = [s for s in self.seats.values() if s.node.ready and s.warm_at <= now]
-        if warm:
-            settled = sum(s.settles.since(now - RATE_S) for s in warm)
-            self.rate_seen = settled / RATE_S / sum(s.node.units for s in warm)
-        lived = max(1.0, min(RATE_S, now - self.started))
-        units = sum(s.node.units for s in self.seats.values() if s.node.ready)
-        return max(0.05, self.rate_seen or self.takes[None].since(now - lived) / lived / max(units, 0.01))
+    def warm(self, now: float) -> None:
+        """What part of the txns cold nodes are due: as much of a warm node's load as they are warm."""
+        # Guards cold machines: a front's credit grows with each txn taken and starts by chance, so that the
+        # credits of any number of fronts add up to a safe sum. Settled over taken keeps bursts and repeats
+        # out. Harm: nodes far quicker than the rest warm late.
+        self.cold = [s for s in self.cold if s.warm_at > now]
+        if self.cold:
+            taken, settled = (w.since(now - RATE_S) + 1 for w in (self.takes[None], self.settles))
+            units = sum(s.node.units * self.warmth(now, s) for s in self.cold)
+            self.cold_part = self.cold_load * min(1.0, settled / taken) * units / self.most_units
+
+    def due(self, now: float, txn: Txn, arm: list[Seat], floor: int) -> Seat | None:
+        """A cold node of the arm that is due a txn, the warmer ones more often."""
+        if not self.cold or self.cold_credit < 1.0:
+            return None
+        for seat in self.chance.choices(self.cold, k=COLD_DRAWS):
+            chosen = seat in arm and self.chance.random() < self.warmth(now, seat)
+            if chosen and self.open_to(now, txn, seat, floor):
+                return seat
+        return None
 
     def submit(self, now: float, txn: Txn, seat: Seat) -> None:
         node = seat.node
         if now < seat.warm_at:
-            # Guards cold machines: sends are spaced so that all fronts' add up to a safe part of multiple x
-            # present capacity, by what own warm nodes settle. Harm: small fronts hardly use cold nodes.
-            pace = self.cold_multiple * self.warmth(now, seat) * self.warm_rate(now) * node.units
-            seat.next_at = now + 1.0 / pace
+            self.cold_credit -= 1.0
         if seat in self.trial:
             for product in (None, txn.product):
                 self.trial_sends.setdefault((node.release, product), Window(self.cap_s + 1.0)).add(now)
@@ -454,13 +479,16 @@
         if good:
             seat.full_s = seat.aside_s = 0.0
             seat.settles.add(now)
+            self.settles.add(now)
             self.lately[product].append(took)
         else:
             # Guards against failing, silent and unreachable nodes: set aside ever longer, then one at a time.
             bad = sum(not s[1] for s in list(seat.samples)[-4:])
             if bad >= 3 or result is Result.UNREACHABLE or (seat.aside_s and now >= seat.aside_until):
-                seat.aside_s = min(ASIDE_S[1], max(ASIDE_S[0], 2 * seat.aside_s))
-                seat.aside_until = now + seat.aside_s * self.chance.uniform(0.8, 1.2)
+                arm = self.trial if seat in self.trial else self.older
+                if sum(s.aside_until > now for s in arm) < ASIDE_PART * len(arm):
+                    seat.aside_s = min(ASIDE_S[1], max(ASIDE_S[0], 2 * seat.aside_s))
+                    seat.aside_until = now + seat.aside_s * self.chance.uniform(0.8, 1.2)
         if result in (Result.SETTLED, Result.FAULT, Result.SILENT, Result.BROKEN):
             kept = self.evidence.setdefault((seat.node.release, product), deque(maxlen=KEPT))
             fault, spent = result in (Result.FAULT, Result.BROKEN), (now - sub.txn.taken) / product.sla_s
