The cold credit is drawn anew where cold nodes appear after none

Cause: credits saved by 445 fronts since the last roll were all spent as the next new nodes were listed.

--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -209,6 +209,8 @@
         newest = max((s.node.release for s in ready), default=0)
         self.older = [s for s in ready if s.node.release < tried]
         self.trial = [s for s in ready if s.node.release == newest >= tried]
+        if not self.cold:
+            self.cold_credit = self.chance.random()  # what was saved without a cold node would come in a rush
         self.cold = [s for s in (*self.trial, *self.older) if s.warm_at > now]
         self.most_units = max(self.most_units, sum(s.node.units for s in ready))
         self.warm(now)
