The trial share is kept by a credit a front instead of the window with its free number

Cause: the window's free number let a front with a txn a second send most of it to a tenth of the nodes.

--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -53,6 +53,7 @@
 QUIET, QUIET_SLA = 3.0, (0.25, 0.6)  # usual times of silence, and parts of SLA: a node is taken for lost
 HASTE = 1.3  # usual times that must be left of the SLA time for a submission to be worth it
 COLD_PART, COLD_MOST = 0.4, 0.8  # of the fall multiple, and times a warm node's load: the rest is for chance
+CREDIT_MOST = 2.0  # txns; what the trial may be owed, so that it gets no rush after a pause
 DRAWS = 6  # draws to find two nodes that may take a txn; enough where one in three may
 COLD_DRAWS = 3  # draws to find a cold node that may take a txn
 RATE_S = 3.0  # s; rates are counted over this
@@ -109,6 +110,7 @@
         self.release: Release | None = None
         self.stage_at = self.vote_next = self.wake_at = now
         self.share, self.integral, self.error, self.bound = 0.0, 0.0, None, False
+        self.credit = self.chance.random()  # of the trial: its share of each txn taken, less what was sent
         self.pressed, self.strikes, self.slow_for, self.calm_for = False, 0, 0.0, 0.0
         self.vote, self.vote_at, self.crossed, self.carried = None, -inf, False, 0.0
         self.orders: list[tuple] = []
@@ -139,6 +141,7 @@
             if window is not None:
                 window.add(now)
         self.cold_credit = min(1.0, self.cold_credit + self.cold_part)
+        self.credit = min(CREDIT_MOST, self.credit + self.share)
         self.seek(now, txn)
 
     def ended(self, now: float, sub: Submission, result: Result, took: float, final: bool) -> None:
@@ -215,8 +218,8 @@
         self.most_units = max(self.most_units, sum(s.node.units for s in ready))
         self.warm(now)
 
-    def room(self, now: float, txn: Txn, share: float) -> bool:
-        """True where one more submission to the trial keeps the window count within `share` and the cap."""
+    def room(self, now: float, txn: Txn) -> bool:
+        """True where one more submission to the trial keeps the window count within the cap."""
         number, product = self.trial[0].node.release, txn.product if self.by_product else None
         stage, cap = 0, self.caps[0]
         if self.release is not None and number == self.release.number:
@@ -226,7 +229,7 @@
         sends = self.trial_sends.get((number, product))
         sent = sends.since(now - self.cap_s - EDGE_S) if sends else 0
         taken = self.takes[product].since(now - self.cap_s + EDGE_S)
-        return sent + 1 <= (self.cap_free + cap * taken) * min(1.0, share / cap)
+        return sent + 1 <= self.cap_free + cap * taken
 
     def loop(self, now: float) -> None:
         """The design's PID loop on own outcomes at the new build; its output is the trial share."""
@@ -308,10 +311,15 @@
             return False
         floor = self.key_floor.get(txn.key, 0) if self.keys_stay and txn.key is not None else 0
         stays = bool(self.trial) and floor == self.trial[0].node.release
-        share = inf if stays or not self.older else self.share
+        # The share is kept by a credit that starts by chance: the free number of the exposure window, times
+        # hundreds of fronts, would overrun the few nodes on trial.
+        credit = inf if stays or not self.older else self.credit
         for arm in (self.trial, self.older):
-            open_ = arm and (arm is self.older or self.room(now, txn, share))
-            seat = (self.due(now, txn, arm, floor) or self.pick(now, txn, arm, floor)) if open_ else None
+            if not arm or (arm is self.trial and not self.room(now, txn)):
+                continue
+            seat = self.due(now, txn, arm, floor) if arm is self.older or credit >= 0.0 else None
+            if seat is None and (arm is self.older or credit >= 1.0):
+                seat = self.pick(now, txn, arm, floor)
             if seat is not None:
                 self.submit(now, txn, seat)
                 return True
@@ -394,6 +402,7 @@
         if now < seat.warm_at:
             self.cold_credit -= 1.0
         if seat in self.trial:
+            self.credit = max(-1.0, self.credit - 1.0)
             for product in (None, txn.product):
                 self.trial_sends.setdefault((node.release, product), Window(self.cap_s + 1.0)).add(now)
         sub = Submission(txn, node, now, txn.expiry - now, len(txn.submissions))
