Cold nodes are due their part of all capacity, within 0.6 of the fall multiple

Cause: in the last stage two thirds of the nodes are cold at once; at less than their part the warm ones crowd.

--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -52,7 +52,7 @@
 MET = 0.8  # a node that met the key lately may look this much worse
 QUIET, QUIET_SLA = 3.0, (0.25, 0.6)  # usual times of silence, and parts of SLA: a node is taken for lost
 HASTE = 1.3  # usual times that must be left of the SLA time for a submission to be worth it
-COLD_PART, COLD_MOST = 0.4, 0.8  # of the fall multiple, and times a warm node's load: the rest is for chance
+COLD_PART = 0.6  # of the fall multiple, against warm nodes' usual load: the rest is for chance and troubles
 CREDIT_MOST = 2.0  # txns; what the trial may be owed, so that it gets no rush after a pause
 DRAWS = 6  # draws to find two nodes that may take a txn; enough where one in three may
 COLD_DRAWS = 3  # draws to find a cold node that may take a txn
@@ -82,7 +82,7 @@
         self.chance, self.started, self.zone = Random(seed), now, terms.zone
         self.must_ask, self.ask_most_s = terms.must_ask, terms.ask_within_s / 4
         self.cold_from, self.cold_s = terms.cold_from, terms.cold_s
-        self.cold_load = min(COLD_MOST, COLD_PART * terms.fall_multiple)
+        self.cold_load = COLD_PART * terms.fall_multiple
         self.cold: list[Seat] = []  # ready ones that may still be cold
         self.cold_credit, self.cold_part, self.most_units = self.chance.random(), 0.0, 0.01
         self.max_submissions, self.may_recall = terms.max_submissions, terms.may_recall
@@ -377,7 +377,7 @@
         return 1.0 - (1.0 - self.cold_from) * max(0.0, min(1.0, (seat.warm_at - now) / self.cold_s))
 
     def warm(self, now: float) -> None:
-        """What part of the txns cold nodes are due: as much of a warm node's load as they are warm."""
+        """What part of the txns cold nodes are due: their part of all capacity, within a safe load."""
         # Guards cold machines: a front's credit grows with each txn taken and starts by chance, so that the
         # credits of any number of fronts add up to a safe sum. Settled over taken keeps bursts and repeats
         # out. Harm: nodes far quicker than the rest warm late.
@@ -385,7 +385,9 @@
         if self.cold:
             taken, settled = (w.since(now - RATE_S) + 1 for w in (self.takes[None], self.settles))
             units = sum(s.node.units * self.warmth(now, s) for s in self.cold)
-            self.cold_part = self.cold_load * min(1.0, settled / taken) * units / self.most_units
+            warm = sum(s.node.units for s in (*self.trial, *self.older) if s.warm_at <= now)
+            safe = self.cold_load * min(1.0, settled / taken) / self.most_units
+            self.cold_part = units * min(safe, 1.0 / (units + warm))
 
     def due(self, now: float, txn: Txn, arm: list[Seat], floor: int) -> Seat | None:
         """A cold node of the arm that is due a txn, the warmer ones more often."""
