The trial's credit grows only by what warm nodes may take

Cause (a record of what was sent to each node): credits saved while the trial's nodes were cold sent 71 txns to one node in the second it became warm.

--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -53,7 +53,7 @@
 QUIET, QUIET_SLA = 3.0, (0.6, 0.6)  # usual times of silence, and parts of SLA: a node is taken for lost
 HASTE = 1.3  # usual times that must be left of the SLA time for a submission to be worth it
 COLD_PART = 0.6  # of the fall multiple, against warm nodes' usual load: the rest is for chance and troubles
-CREDIT_MOST = 2.0  # txns; what the trial may be owed, so that it gets no rush after a pause
+CREDIT_MOST = 1.5  # txns; what the trial may be owed, so that it gets no rush after a pause
 DRAWS = 6  # draws to find two nodes that may take a txn; enough where one in three may
 COLD_DRAWS = 3  # draws to find a cold node that may take a txn
 RATE_S = 3.0  # s; rates are counted over this
@@ -141,7 +141,8 @@
             if window is not None:
                 window.add(now)
         self.cold_credit = min(1.0, self.cold_credit + self.cold_part)
-        self.credit = min(CREDIT_MOST, self.credit + self.share)
+        if self.trial:  # what cold nodes are due of the share is theirs alone
+            self.credit = min(CREDIT_MOST, self.credit + max(0.0, self.share - self.cold_part))
         self.seek(now, txn)
 
     def ended(self, now: float, sub: Submission, result: Result, took: float, final: bool) -> None:
@@ -212,6 +213,8 @@
         newest = max((s.node.release for s in ready), default=0)
         self.older = [s for s in ready if s.node.release < tried]
         self.trial = [s for s in ready if s.node.release == newest >= tried]
+        if not self.trial:
+            self.credit = self.chance.random()
         if not self.cold:
             self.cold_credit = self.chance.random()  # what was saved without a cold node would come in a rush
         self.cold = [s for s in (*self.trial, *self.older) if s.warm_at > now]
@@ -242,11 +245,13 @@
             slow, faults = fmean(s.spent for s in fresh), fmean(s.fault for s in fresh)
             error = min((AIM_LATENCY - slow) / AIM_LATENCY, (AIM_FAULTS - faults) / AIM_FAULTS)
         # Guards against crowding the few trial nodes that are listed and warm so far: the clamp is what they
-        # can carry at somewhat more than equal load. Harm: a list that lags keeps the share low.
-        mine, theirs = (sum(s.node.units * self.warmth(now, s) for s in a) for a in (self.trial, self.older))
+        # can carry at somewhat more than equal load, and what cold ones are due. Harm: a list that lags
+        # keeps the share low.
+        mine, theirs = (sum(s.node.units for s in a if s.warm_at <= now) for a in (self.trial, self.older))
         pace, whole = self.pace(now), WHOLE * self.carried
         crowd = CROWD if pace < CALM else 1.0
-        clamp = min(rel.cap, crowd * mine / (mine + theirs) if theirs else 1.0)
+        part = crowd * mine / (mine + theirs) if theirs else 1.0
+        clamp = min(rel.cap, self.cold_part + part * (1.0 - self.cold_part))
         if mine + theirs >= whole:  # a fleet partly cold or short of nodes is slow by itself
             self.strike(now, pace)
         slow = (AIM_PACE - pace) / AIM_PACE
@@ -317,7 +322,7 @@
         for arm in (self.trial, self.older):
             if not arm or (arm is self.trial and not self.room(now, txn)):
                 continue
-            seat = self.due(now, txn, arm, floor) if arm is self.older or credit >= 0.0 else None
+            seat = self.due(now, txn, arm, floor)
             if seat is None and (arm is self.older or credit >= 1.0):
                 seat = self.pick(now, txn, arm, floor)
             if seat is not None:
@@ -391,7 +396,8 @@
 
     def due(self, now: float, txn: Txn, arm: list[Seat], floor: int) -> Seat | None:
         """A cold node of the arm that is due a txn, the warmer ones more often."""
-        if not self.cold or self.cold_credit < 1.0:
+        slack = self.share >= self.cold_part or not self.older or arm is self.older
+        if not self.cold or self.cold_credit < 1.0 or not slack:
             return None
         for seat in self.chance.choices(self.cold, k=COLD_DRAWS):
             chosen = seat in arm and self.chance.random() < self.warmth(now, seat)
@@ -404,7 +410,7 @@
         if now < seat.warm_at:
             self.cold_credit -= 1.0
         if seat in self.trial:
-            self.credit = max(-1.0, self.credit - 1.0)
+            self.credit -= seat.warm_at <= now
             for product in (None, txn.product):
                 self.trial_sends.setdefault((node.release, product), Window(self.cap_s + 1.0)).add(now)
         sub = Submission(txn, node, now, txn.expiry - now, len(txn.submissions))
