--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -10,7 +10,7 @@
 
 from collections import deque
 from heapq import heappop, heappush
-from math import inf, sqrt
+from math import ceil, inf, sqrt
 from random import Random
 from statistics import fmean, variance
 
@@ -33,7 +33,7 @@
 LEAST = 20  # outcomes; the design's least sample
 LEAST_PER_S, LEAST_EVER = 3.0, 4  # outcomes; what each second in the stage takes off, and how far down
 FAULTS_LEAST = 3  # faults; two may be one bad second of one machine
-DOUBT, FAULT_FLOOR = 0.004, 0.005  # chance that makes faults the build's; share always put down to chance
+DOUBT, FAULT_FLOOR = 0.016, 0.005  # chance, over all fronts, of blaming a build; share put down to chance
 TRIM_PART, SPREAD_LEAST = 0.34, 2  # of the nodes; faults that must be left without the worst of them
 SLOWER, SLOW_LEAST = 2.2, 12  # times the earlier build's: "considerably slower"; outcomes it takes to tell
 WHOLE = 0.9  # of the units before the trial: what must be there, warm, for slowness to tell
@@ -93,6 +93,11 @@
         self.keys_stay, self.warm_keys = terms.keys_stay, terms.warm_keys
         self.vote_life_s, self.clocked = terms.vote_life_s, terms.on_votes == 0
         self.least_ever = LEAST_EVER // max(1, terms.on_votes)
+        # The votes that send a build back carry the doubt together: many small fronts judge from a fault each,
+        # a lone vote among many fronts from more. Harm: one failing node that all of them meet.
+        votes = max(1, terms.back_votes)
+        self.doubt = (DOUBT / terms.fronts) ** (1.0 / votes)
+        self.faults_least, self.slow_least = ceil(FAULTS_LEAST / votes), max(LEAST_EVER, LEAST // votes)
         self.open_least = max(1.0, OPEN_ALL / terms.fronts)
         self.open_s = OPEN_S * fmean(p.sla_s for p in terms.products)
         self.seats: dict[Node, Seat] = {}
@@ -537,22 +542,22 @@
         # Guards against holding machine trouble against a build: faults count only where some are left
         # without the nodes that have most. Harm: a bad build that shows on few of its nodes is judged later.
         new, old = self.samples(number), self.samples(number, below=True)
-        spread_out = sum(s.fault for s in trimmed(new, TRIM_PART)) >= SPREAD_LEAST
+        spread_out = sum(s.fault for s in trimmed(new, TRIM_PART)) >= SPREAD_LEAST or self.faults_least == 1
         for product in self.lately if spread_out else ():
             mine, theirs = ([s.fault for s in arm if s.product is product] for arm in (new, old))
             share = min(0.5, max(FAULT_FLOOR, fmean(theirs or [0.0])))
-            if sum(mine) >= FAULTS_LEAST and tail_chance(sum(mine), len(mine), share) < DOUBT:
+            if sum(mine) >= self.faults_least and tail_chance(sum(mine), len(mine), share) < self.doubt:
                 return True
         # The same seconds on both sides: a shared trouble is in both. What slows all slows its own too.
         recent = ([s for s in arm if s.at > now - RECENT_S] for arm in (new, old))
         paces = relative(*recent, SLOW_LEAST) if self.older else []  # without earlier nodes, load is unlike
-        if len(paces) >= LEAST and fmean(paces) > SLOWER + 3 * sqrt(variance(paces) / len(paces)):
+        if len(paces) >= self.slow_least and fmean(paces) > SLOWER + 3 * sqrt(variance(paces) / len(paces)):
             return True
         if self.strikes >= STRIKES and (len(paces) < LEAST or fmean(paces) > ALIKE):
             return True
         flagged = self.wrongs.count(number)
         total = max(flagged, len(self.samples(number)))
-        return flagged >= FAULTS_LEAST and tail_chance(flagged, total, FAULT_FLOOR) < DOUBT
+        return flagged >= FAULTS_LEAST and tail_chance(flagged, total, FAULT_FLOOR) < self.doubt
 
     def ballot(self, now: float) -> None:
         """Cast, renew or take away the vote as the verdict wants it."""
