--- a/pinward/figures.py
+++ b/pinward/figures.py
@@ -47,14 +47,20 @@
 class Seat:
     """What this front knows of one node from its own submissions."""
 
-    def __init__(self, node: Node, warm_at: float, rate_s: float) -> None:
-        self.node, self.warm_at = node, warm_at
+    def __init__(self, node: Node, warm_at: float, rate_s: float, draw: float) -> None:
+        self.node, self.warm_at, self.draw = node, warm_at, draw
         self.open: list[Submission] = []
         self.samples: deque[tuple[float, bool, float]] = deque(maxlen=10)  # when, settled, took over usual
         self.settles = Window(rate_s)
         self.heard = self.aside_until = self.next_at = -inf
         self.aside_s = self.full_s = 0.0
 
+    def slowness(self, start: float) -> float:
+        """Times against the usual over the settled part of the outcomes, with one usual outcome more."""
+        recent = [s for s in self.samples if s[0] > start]
+        slow = fmean([s[2] for s in recent] + [1.0])
+        return slow * (len(recent) + 1) / (sum(s[1] for s in recent) + 1)
+
     def silent(self, now: float) -> float:
         """For how long the node has owed an answer without a word to this front."""
         return now - max(self.heard, min(s.sent for s in self.open)) if self.open else 0.0
--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -52,6 +52,8 @@
 MET = 0.8  # a node that met the key lately may look this much worse
 QUIET, QUIET_SLA = 3.0, (0.6, 0.6)  # usual times of silence, and parts of SLA: a node is taken for lost
 HASTE = 1.3  # usual times that must be left of the SLA time for a submission to be worth it
+USED_S, USED_LEAST = 4.0, 4  # s between outcomes at each node used, so that its state is known; nodes at least
+CHANGE_S = 3.0  # s; how often one of the nodes used is exchanged, where not all are
 COLD_PART = 0.6  # of the fall multiple, against warm nodes' usual load: the rest is for chance and troubles
 CREDIT_MOST = 1.5  # txns; what the trial may be owed, so that it gets no rush after a pause
 DRAWS = 6  # draws to find two nodes that may take a txn; enough where one in three may
@@ -102,6 +104,7 @@
         self.open_s = OPEN_S * fmean(p.sla_s for p in terms.products)
         self.seats: dict[Node, Seat] = {}
         self.trial, self.older = [], []  # the ready seats on trial and the others
+        self.used, self.used_most, self.change_at = ([], []), USED_LEAST, now  # of these, the warm ones in use
         self.asked, self.ask_at, self.watching = 0, -inf, False
         self.held: list[tuple[float, float, float, Txn]] = []  # dearest, then newest first
         self.takes = {p: Window(self.cap_s + RATE_S) for p in (None, *terms.products)}
@@ -129,7 +132,8 @@
         for line in lines:
             node, seat = line.node, self.seats.get(line.node)
             if seat is None or node.started != line.started or node.release != line.release:
-                fresh = Seat(node, line.started + self.cold_s if line.started > 0 else -inf, RATE_S)
+                warm_at = line.started + self.cold_s if line.started > 0 else -inf
+                fresh = Seat(node, warm_at, RATE_S, self.chance.random())
                 fresh.open, self.seats[node] = seat.open if seat else [], fresh
             node.release, node.zone, node.cell = line.release, line.zone, line.cell
             node.units, node.started, node.ready = max(line.units, 0.01), line.started, line.ready
@@ -181,6 +185,8 @@
             self.ask_at = now + self.ask_most_s
             self.orders.append((Verb.WATCH,))
         self.warm(now)
+        if now >= self.change_at:
+            self.change(now)
         self.take_back(now)
         self.sweep(now)
         self.pump(now)
@@ -225,8 +231,27 @@
             self.cold_credit = self.chance.random()  # what was saved without a cold node would come in a rush
         self.cold = [s for s in (*self.trial, *self.older) if s.warm_at > now]
         self.most_units = max(self.most_units, sum(s.node.units for s in ready))
+        self.choose(now)
         self.warm(now)
 
+    def choose(self, now: float) -> None:
+        """The warm nodes of each arm that this front uses: those with the lowest of numbers drawn at random."""
+        # Acts where traffic is too little to know all nodes by. Every node has an even chance at every front at
+        # any time, also after a roll or restarts. Guards against slow, silent and squeezed nodes. Harm: none
+        # seen at large fronts, which use all.
+        warm = ([s for s in arm if s.warm_at <= now] for arm in (self.trial, self.older))
+        self.used = tuple(sorted(arm, key=lambda s: s.draw)[: self.used_most] for arm in warm)
+
+    def change(self, now: float) -> None:
+        """Exchange the used node that looks worst, and fit the number of them to the traffic."""
+        self.change_at = now + CHANGE_S * self.chance.uniform(0.7, 1.3)
+        lived = max(1.0, min(now - self.started, self.cap_s + RATE_S))
+        self.used_most = max(USED_LEAST, round(USED_S * self.takes[None].since(now - lived) / lived))
+        used = [s for s in self.used[1] if self.used_most < len(self.older)]
+        if used:
+            max(used, key=lambda s: s.slowness(now - RECENT_S)).draw = self.chance.random()
+        self.choose(now)
+
     def room(self, now: float, txn: Txn) -> bool:
         """True where one more submission to the trial keeps the window count within the cap."""
         number, product = self.trial[0].node.release, txn.product if self.by_product else None
@@ -340,7 +365,8 @@
         """Two random choices among an arm's nodes that may take one more, the lighter of the two."""
         met = [s.node for s in txn.submissions]
         known = self.seats.get(self.key_node.get(txn.key)) if self.warm_keys else None
-        drawn = [s for s in (known,) if s in arm] + self.chance.choices(arm, k=DRAWS)
+        used = self.used[arm is self.older]
+        drawn = [s for s in (known,) if s in arm] + (self.chance.choices(used, k=DRAWS) if used else [])
         found: list[Seat] = []
         for seat in drawn:
             if seat.warm_at <= now and seat not in found and seat.node not in met and self.open_to(now, txn, seat, floor):
@@ -375,13 +401,11 @@
 
     def weight(self, now: float, seat: Seat, txn: Txn) -> float:
         """How long a txn is likely to wait there: open submissions a unit, times how slow it is of late."""
-        recent = [s for s in seat.samples if s[0] > now - RECENT_S]
-        slow = fmean([s[2] for s in recent] + [1.0])
-        settled = (sum(s[1] for s in recent) + 1) / (len(recent) + 1)
+        slow = seat.slowness(now - RECENT_S)
         slow *= QUIET if seat.silent(now) > self.patience(txn.product) else 1.0
         slow *= MET if self.warm_keys and self.key_node.get(txn.key) is seat.node else 1.0
         slow *= AWAY if seat.node.zone != self.zone else 1.0
-        return (len(seat.open) + 1) / (seat.node.units * self.warmth(now, seat)) * slow / settled
+        return (len(seat.open) + 1) / (seat.node.units * self.warmth(now, seat)) * slow
 
     def warmth(self, now: float, seat: Seat) -> float:
         """The least part of its capacity that a node can have reached by now."""
@@ -392,8 +416,11 @@
         # Guards cold machines: a front's credit grows with each txn taken and starts by chance, so that the
         # credits of any number of fronts add up to a safe sum. Settled over taken keeps bursts and repeats
         # out. Harm: nodes far quicker than the rest warm late.
-        self.cold = [s for s in self.cold if s.warm_at > now]
-        if self.cold:
+        cold = [s for s in self.cold if s.warm_at > now]
+        if len(cold) < len(self.cold):
+            self.cold = cold
+            self.choose(now)
+        if cold:
             taken, settled = (w.since(now - RATE_S) + 1 for w in (self.takes[None], self.settles))
             units = sum(s.node.units * self.warmth(now, s) for s in self.cold)
             warm = sum(s.node.units for s in (*self.trial, *self.older) if s.warm_at <= now)
