Where a lone vote moves the build, fronts drawn by chance judge it for all

Cause: under a gate of one vote 400 fronts with a txn a second each see a tenth of an outcome a second; stage 0 took 24 s. A share of the fronts now sends the fleet's whole trial share.

--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -34,6 +34,7 @@
 LEAST_PER_S, LEAST_EVER = 3.0, 4  # outcomes; what each second in the stage takes off, and how far down
 FAULTS_LEAST = 3  # faults; two may be one bad second of one machine
 DOUBT, FAULT_FLOOR = 0.016, 0.005  # chance, over all fronts, of blaming a build; share put down to chance
+SCOUT_S, SCOUT_MOST = 5.0, 0.5  # s to the least sample, or few fronts judge for all; their share at most
 TRIM_PART, SPREAD_LEAST = 0.34, 2  # of the nodes; faults that must be left without the worst of them
 SLOWER, SLOW_LEAST = 2.2, 12  # times the earlier build's: "considerably slower"; outcomes it takes to tell
 WHOLE = 0.9  # of the units before the trial: what must be there, warm, for slowness to tell
@@ -119,6 +120,7 @@
         self.release: Release | None = None
         self.stage_at = self.vote_next = self.wake_at = now
         self.share, self.integral, self.error, self.bound = 0.0, 0.0, None, False
+        self.rate, self.lone, self.scout, self.boost = 0.0, terms.on_votes == 1, 1.0, 1.0
         self.credit = self.chance.random()  # of the trial: its share of each txn taken, less what was sent
         self.pressed, self.strikes, self.slow_for, self.calm_for = False, 0, 0.0, 0.0
         self.vote, self.vote_at, self.crossed, self.carried = None, -inf, False, 0.0
@@ -150,9 +152,9 @@
         for window in (self.takes[None], self.takes[txn.product], self.customer_takes.get(txn.customer)):
             if window is not None:
                 window.add(now)
-        self.cold_credit = min(1.0, self.cold_credit + self.cold_part)
+        self.cold_credit = min(1.0, self.cold_credit + self.cold_part * self.boost)
         if self.trial:  # what cold nodes are due of the share is theirs alone
-            self.credit = min(CREDIT_MOST, self.credit + max(0.0, self.share - self.cold_part))
+            self.credit = min(CREDIT_MOST, self.credit + max(0.0, self.share - self.cold_part) * self.boost)
         self.seek(now, txn)
 
     def ended(self, now: float, sub: Submission, result: Result, took: float, final: bool) -> None:
@@ -205,7 +207,7 @@
                 self.carried = sum(s.node.units for s in self.seats.values() if s.node.ready)
             if fresh or old.stage != release.stage or old.phase is not release.phase:
                 self.stage_at, self.bound, self.integral, self.error = now - release.since_s, False, 0.0, None
-                self.share = self.shares[release.stage]
+                self.share, self.scout = self.shares[release.stage], self.chance.random()
             if release.phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
                 self.key_floor = {k: n for k, n in self.key_floor.items() if n < release.number}
             self.arms(now)
@@ -246,7 +248,8 @@
         """Exchange the used node that looks worst, and fit the number of them to the traffic."""
         self.change_at = now + CHANGE_S * self.chance.uniform(0.7, 1.3)
         lived = max(1.0, min(now - self.started, self.cap_s + RATE_S))
-        self.used_most = max(USED_LEAST, round(USED_S * self.takes[None].since(now - lived) / lived))
+        self.rate = self.takes[None].since(now - lived) / lived
+        self.used_most = max(USED_LEAST, round(USED_S * self.rate))
         used = [s for s in self.used[1] if self.used_most < len(self.older)]
         if used:
             max(used, key=lambda s: s.slowness(now - RECENT_S)).draw = self.chance.random()
@@ -294,6 +297,13 @@
             self.integral += error * PERIOD_S
         self.error, self.share, self.crossed = error, max(0.0, min(clamp, out)), min(error, slow) < 0
         self.bound = out >= clamp and not self.crossed
+        # Where one vote moves the build and no front alone would see enough of it, the judging is shared: some
+        # fronts, drawn anew each stage, send as much as their window lets them and the rest nothing, to the
+        # same sum. Harm: their customers alone meet a bad build.
+        self.boost = 1.0
+        if self.lone and 0.0 < self.share * self.rate * SCOUT_S < LEAST_EVER:
+            most = min(SCOUT_MOST, rel.cap + self.cap_free / self.cap_s / self.rate)
+            self.boost = (self.scout < self.share / most) * most / self.share
 
     def pace(self, now: float) -> float:
         """The quicker answers of late against those before the trial, at the quicker build; else 1."""
