While answers are slow a front bounds its open submissions by what it settles

Cause: the bound a node lets each of 400 fronts have one open everywhere; queues grew to many times the SLA time.

--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -59,6 +59,7 @@
 CREDIT_MOST = 1.5  # txns; what the trial may be owed, so that it gets no rush after a pause
 DRAWS = 6  # draws to find two nodes that may take a txn; enough where one in three may
 COLD_DRAWS = 3  # draws to find a cold node that may take a txn
+SPENT_OF = 8  # outcomes; enough to tell slow answers from one slow txn
 RATE_S = 3.0  # s; rates are counted over this
 OVER = 1.3  # times its share of what comes in: above it a customer is taken to be over its share
 EDGE_S = 0.011  # s; two batches' slack wherever a rule counts over a window
@@ -117,6 +118,8 @@
         self.before: dict[Product, list[float]] = {}  # times just before the trial
         self.key_floor, self.key_node = {}, {}  # by key: newest release and last node
         self.settles = Window(RATE_S)
+        self.open: list[Submission] = []
+        self.spent: deque[float] = deque(maxlen=SPENT_OF)  # of the last outcomes, as shares of the SLA time
         self.release: Release | None = None
         self.stage_at = self.vote_next = self.wake_at = now
         self.share, self.integral, self.error, self.bound = 0.0, 0.0, None, False
@@ -161,6 +164,7 @@
         """A submission ended; `final` says that its txn is over, through it or before."""
         txn, seat, sub.result = sub.txn, self.seats[sub.node], result
         seat.open.remove(sub)
+        self.open.remove(sub)
         self.learn(now, sub, seat, took)
         if txn.state is State.SUBMITTED and final:
             move(txn, State.SETTLED if result is Result.SETTLED else State.VOIDED)
@@ -353,7 +357,7 @@
 
     def place(self, now: float, txn: Txn) -> bool:
         """Submit a txn somewhere, the trial first where its share has room; False where it fits nowhere."""
-        if self.barred(now, txn):
+        if self.barred(now, txn) or self.full(now):
             return False
         floor = self.key_floor.get(txn.key, 0) if self.keys_stay and txn.key is not None else 0
         stays = bool(self.trial) and floor == self.trial[0].node.release
@@ -394,6 +398,16 @@
         clear = seat.aside_until <= now and seat.node.release >= floor
         return clear and self.fits(now, seat) and self.grouped(txn, seat.node)
 
+    def full(self, now: float) -> bool:
+        """True where answers are slow and this front has its part of what the fleet can settle in time."""
+        # Guards against long queues at every node, which the bounds a node cannot hold down where each of many
+        # fronts may have one open everywhere. What is long overdue, as at a silent node, does not count.
+        # Harm: a front that only meets slow nodes holds txns which others could settle.
+        if not self.spent or fmean(self.spent) < AIM_LATENCY:
+            return False
+        fresh = sum(now - s.sent < s.txn.product.sla_s for s in self.open)
+        return fresh >= max(1.0, self.open_s * self.settles.since(now - RATE_S) / RATE_S)
+
     def grouped(self, txn: Txn, node: Node) -> bool:
         """True where a node drops repeats of what the earlier submissions may have done."""
         ran, group = self.ran(txn), txn.product.group
@@ -459,6 +473,7 @@
         sub = Submission(txn, node, now, txn.expiry - now, len(txn.submissions))
         txn.submissions.append(sub)
         seat.open.append(sub)
+        self.open.append(sub)
         move(txn, State.SUBMITTED)
         self.orders.append((Verb.SUBMIT, sub))
 
@@ -537,6 +552,7 @@
             seat.next_at = max(seat.next_at, now + seat.full_s * self.chance.uniform(0.7, 1.3))
             return
         good = result is Result.SETTLED
+        self.spent.append((now - sub.txn.taken) / product.sla_s)
         seat.samples.append((now, good, max(0.5, min(8.0, took / self.usual(product)))))
         if good:
             seat.full_s = seat.aside_s = 0.0
