--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -507,7 +507,7 @@
         paces = relative(*recent, SLOW_LEAST) if self.older else []  # without earlier nodes, load is unlike
         if len(paces) >= self.slow_least and surely(paces) > SLOWER:
             return True
-        if self.strikes >= STRIKES and (len(paces) < LEAST or fmean(paces) > ALIKE):
+        if self.strikes >= STRIKES and (len(paces) < self.slow_least or fmean(paces) > ALIKE):
             return True
         flagged = self.wrongs.count(number)
         total = max(flagged, len(new))
