A build seen clearly quicker is cleared of slowness of all; what cold nodes are due ends with them

Cause: with the earlier nodes gone nothing showed the build to be quicker, and it went back at its last stage.

--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -360,6 +360,7 @@
         if any(s.warm_at <= now for s in self.fresh):
             self.fresh = [s for s in self.fresh if s.warm_at > now]
             self.choose(now)
+        self.cold_part = 0.0
         if self.fresh:
             taken, settled = self.takes.since(now - RATE_S, "all") + 1, self.settles.since(now - RATE_S) + 1
             units = sum(s.node.units * s.warmth(now) for s in self.fresh)
@@ -507,7 +508,9 @@
         paces = relative(*recent, SLOW_LEAST) if self.older else []  # without earlier nodes, load is unlike
         if len(paces) >= self.slow_least and surely(paces) > SLOWER:
             return True
-        if self.strikes >= STRIKES and (len(paces) < self.slow_least or fmean(paces) > ALIKE):
+        if len(paces) >= self.slow_least and fmean(paces) <= ALIKE:
+            self.strikes = 0
+        if self.strikes >= STRIKES:
             return True
         flagged = self.wrongs.count(number)
         total = max(flagged, len(new))
