--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -26,8 +26,8 @@
 RATE_MOST = 2.0  # 1/s; bound of the error's rate, so that one outcome does not shut the trial for long
 CROWD = 1.3  # times equal load: how far trial nodes may be filled beyond the earlier ones on a calm fleet
 # Slowness of all.
-AIM_PACE, CALM = 1.5, 1.2  # times the usual before the trial: slowness of all at most, and where it is over
-AFTER = 2.6  # times slower still before a build is blamed after its release: rolls and bursts are slow too
+AIM_PACE, CALM = 1.7, 1.2  # times the usual before the trial: slowness of all at most, and where it is over
+AFTER = 1.5  # times slower still before a build is blamed after its release: rolls and bursts are slow too
 PACE_S, SETTLED_S, LASTING_S = 2.0, 1.0, 5.0  # s; times this fresh; the least spell; it counts once more
 WHOLE = 0.9  # of the units before the trial: what must be there, warm, for slowness to tell
 STRIKES, ALIKE = 2, 0.8  # slownesses of all for a vote back; unless the new build is this much quicker
@@ -258,7 +258,7 @@
         pace = paced(builds, self.before, now - RECENT_S, now - PACE_S, SLOW_LEAST, LEAST)
         part = (CROWD if pace < CALM else 1.0) * mine / (mine + theirs) if theirs else 1.0
         clamp = min(rel.cap, self.cold_part + part * (1.0 - self.cold_part))
-        if mine + theirs >= whole:  # a fleet partly cold or short of nodes is slow by itself
+        if sum(s.node.units * s.warmth(now) for s in (*self.trial, *self.older)) >= whole:  # a fleet partly cold or short of nodes is slow by itself
             self.strike(now, pace if rel.phase is Phase.TRIAL else pace / AFTER)
         slow = (AIM_PACE - pace) / AIM_PACE
         if theirs >= whole:  # else taking traffic from the trial would overrun the earlier nodes
