--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -366,7 +366,7 @@
             units = sum(s.node.units * s.warmth(now) for s in self.fresh)
             warm = sum(s.node.units for s in (*self.trial, *self.older) if s.warm_at <= now)
             safe = self.cold_load * min(1.0, settled / taken) / self.most_units
-            self.cold_part = units * min(safe, 1.0 / (units + warm))
+            self.cold_part = units * min(safe, CROWD / (units + warm))
 
     def due(self, now: float, txn: Txn, arm: list[Seat], floor: int) -> Seat | None:
         """A cold node of the arm that is due a txn, the warmer ones more often."""
