--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -30,7 +30,7 @@
 AFTER = 1.5  # times slower still before a build is blamed after its release: rolls and bursts are slow too
 PACE_S, SETTLED_S, LASTING_S = 2.0, 1.0, 5.0  # s; times this fresh; the least spell; it counts once more
 WHOLE = 0.9  # of the units before the trial: what must be there, warm, for slowness to tell
-STRIKES, ALIKE = 2, 0.8  # slownesses of all for a vote back; unless the new build is this much quicker
+STRIKES, ALIKE = 2, 0.6  # slownesses of all for a vote back; unless the new build is this much quicker
 # Votes.
 LEAST, LEAST_PER_S, LEAST_EVER = 20, 3.0, 4  # outcomes; the design's least, less each second, and at least
 FAULTS_LEAST = 3  # faults; two may be one bad second of one machine
@@ -508,7 +508,7 @@
         paces = relative(*recent, SLOW_LEAST) if self.older else []  # without earlier nodes, load is unlike
         if len(paces) >= self.slow_least and surely(paces) > SLOWER:
             return True
-        if len(paces) >= self.slow_least and fmean(paces) <= ALIKE:
+        if self.bound and len(paces) >= self.slow_least and fmean(paces) <= ALIKE:
             self.strikes = 0
         if self.strikes >= STRIKES:
             return True
