--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -468,7 +468,7 @@
         elif result is Result.UNREACHABLE or seat.bad_of(4) >= 3 or 0 < seat.aside_s <= now - seat.aside_at:
             # Guards against failing, silent and unreachable nodes: aside ever longer, then one at a time.
             arm = self.trial if seat in self.trial else self.older
-            if sum(s.aside_until > now for s in arm) < ASIDE_PART * len(arm):
+            if result is Result.UNREACHABLE or sum(s.aside_until > now for s in arm) < ASIDE_PART * len(arm):
                 seat.aside_s = min(ASIDE_S[1], max(ASIDE_S[0], 2 * seat.aside_s))
                 seat.aside_at, seat.aside_until = now, now + seat.aside_s * self.chance.uniform(0.8, 1.2)
         if result in (Result.SETTLED, Result.FAULT, Result.SILENT, Result.BROKEN):
