Only sick nodes are left out of the faults: a third of their outcomes since the first fault

Cause (notes of the votes): of a build that fails when its node is busy, 20 of 492 outcomes failed, all on a few nodes, which the trim left out.

--- a/pinward/figures.py
+++ b/pinward/figures.py
@@ -129,13 +129,19 @@
         return [s for (n, _), kept in self.samples.items() if n < number for s in kept]
 
 
-def trimmed(samples: list[Sample], part: float) -> list[Sample]:
-    """The samples without those of the `part` of the nodes that have most faults."""
-    faults = dict.fromkeys((s.node for s in samples), 0)
-    for s in samples:
-        faults[s.node] += s.fault
-    worst = sorted(faults, key=lambda node: -faults[node])[: int(part * len(faults))]
-    return [s for s in samples if s.node not in worst]
+def trimmed(samples: list[Sample], part: float, sick: float) -> list[Sample]:
+    """The samples without sick nodes', where `sick` of the outcomes since the first fault are faults.
+
+    At most the worst `part` of all nodes are left out.
+    """
+    since: dict[Node, list[bool]] = {}
+    for s in sorted(samples, key=lambda s: s.at):
+        if s.fault or since.get(s.node):
+            since.setdefault(s.node, []).append(s.fault)
+    ill = [node for node, faults in since.items() if sum(faults) >= sick * len(faults)]
+    nodes = dict.fromkeys(s.node for s in samples)
+    left_out = sorted(ill, key=lambda node: -sum(since[node]))[: int(part * len(nodes))]
+    return [s for s in samples if s.node not in left_out]
 
 
 def low(values: Iterable[float]) -> float:
--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -35,7 +35,7 @@
 LEAST, LEAST_PER_S, LEAST_EVER = 20, 3.0, 4  # outcomes; the design's least, less each second, and at least
 FAULTS_LEAST = 3  # faults; two may be one bad second of one machine
 DOUBT, FAULT_FLOOR = 0.016, 0.005  # chance, over all fronts, of blaming a build; share put down to chance
-TRIM_PART, SPREAD_LEAST = 0.34, 2  # of the nodes; faults that must be left without the worst of them
+TRIM_PART, SICK, SPREAD_LEAST = 0.34, 0.3, 2  # of nodes; faulty part of a sick one; faults left elsewhere
 SLOWER, SLOW_LEAST = 2.2, 12  # times the earlier build's: "considerably slower"; outcomes it takes to tell
 SCOUT_S, SCOUT_MOST, SCOUTS = 5.0, 0.5, 4  # s to the least sample, or few judge for all; their share; number
 WATCH_S, VOTE_GAP_S = 15.0, 0.6  # s; watch of a released build; least gap of votes, spread to twice that
@@ -204,10 +204,8 @@
         newest = max((s.node.release for s in ready), default=0)
         self.older = [s for s in ready if s.node.release < tried]
         self.trial = [s for s in ready if s.node.release == newest >= tried]
-        if not self.trial:
-            self.credit = self.chance.random()
-        if not self.fresh:
-            self.cold_credit = self.chance.random()  # what was saved without a cold node would be a rush
+        self.credit = self.credit if self.trial else self.chance.random()  # else what was saved is a rush
+        self.cold_credit = self.cold_credit if self.fresh else self.chance.random()
         self.fresh = [s for s in (*self.trial, *self.older) if s.warm_at > now]
         self.most_units = max(self.most_units, sum(s.node.units for s in ready))
         self.choose(now)
@@ -254,14 +252,15 @@
         # Guards against crowding the few trial nodes listed and warm so far: the clamp is somewhat more than
         # equal load, and what cold ones are due. Harm: a list that lags keeps the share low.
         mine, theirs = (sum(s.node.units for s in a if s.warm_at <= now) for a in (self.trial, self.older))
-        builds, whole = (self.evidence.of(rel.number), self.evidence.before(rel.number)), WHOLE * self.carried
+        builds = self.evidence.of(rel.number), self.evidence.before(rel.number)
         pace = paced(builds, self.before, now - RECENT_S, now - PACE_S, SLOW_LEAST, LEAST)
         part = (CROWD if pace < CALM else 1.0) * mine / (mine + theirs) if theirs else 1.0
         clamp = min(rel.cap, self.cold_part + part * (1.0 - self.cold_part))
-        if sum(s.node.units * s.warmth(now) for s in (*self.trial, *self.older)) >= whole:  # a fleet partly cold or short of nodes is slow by itself
+        here = sum(s.node.units * s.warmth(now) for s in (*self.trial, *self.older))
+        if here >= WHOLE * self.carried:  # a fleet partly cold or short of nodes is slow by itself
             self.strike(now, pace if rel.phase is Phase.TRIAL else pace / AFTER)
         slow = (AIM_PACE - pace) / AIM_PACE
-        if theirs >= whole:  # else taking traffic from the trial would overrun the earlier nodes
+        if theirs >= WHOLE * self.carried:  # else less for the trial would overrun the earlier nodes
             error = min(error, slow)
         rate = 0.0 if self.error is None else max(-RATE_MOST, min(RATE_MOST, (error - self.error) / PERIOD_S))
         out = GAIN_P * error + GAIN_I * self.integral + GAIN_D * rate
@@ -278,7 +277,6 @@
                 self.boost = (self.scout < self.share / most) * most / self.share
 
     def strike(self, now: float, pace: float) -> None:
-        """Count how often slowness of all went away with the trial's traffic, which the loop takes away."""
         # Guards against a build that slows all nodes in step with its traffic: times before the trial are the
         # source's "previous runs". Harm: shared troubles that begin under the trial send a sound one back.
         what = self.spell.see(pace > AIM_PACE, pace < CALM)
@@ -468,7 +466,8 @@
         elif result is Result.UNREACHABLE or seat.bad_of(4) >= 3 or 0 < seat.aside_s <= now - seat.aside_at:
             # Guards against failing, silent and unreachable nodes: aside ever longer, then one at a time.
             arm = self.trial if seat in self.trial else self.older
-            if result is Result.UNREACHABLE or sum(s.aside_until > now for s in arm) < ASIDE_PART * len(arm):
+            spared = sum(s.aside_until > now for s in arm) < ASIDE_PART * len(arm)
+            if spared or result is Result.UNREACHABLE:
                 seat.aside_s = min(ASIDE_S[1], max(ASIDE_S[0], 2 * seat.aside_s))
                 seat.aside_at, seat.aside_until = now, now + seat.aside_s * self.chance.uniform(0.8, 1.2)
         if result in (Result.SETTLED, Result.FAULT, Result.SILENT, Result.BROKEN):
@@ -498,10 +497,10 @@
     def worse(self, now: float, number: int) -> bool:
         """True where the new build's faults or times are beyond what the earlier build's explain."""
         # Guards against holding machine trouble against a build: faults count only where some are left
-        # without the nodes that have most. Harm: a bad build that shows on few of its nodes is judged later.
+        # without sick nodes, a third at most. Harm: a build that fails most on few nodes is judged later.
         new, old = self.evidence.of(number), self.evidence.before(number)
-        spread_out = sum(s.fault for s in trimmed(new, TRIM_PART)) >= SPREAD_LEAST or self.faults_least == 1
-        if spread_out and faulty_chance(new, old, self.faults_least, FAULT_FLOOR) < self.doubt:
+        spread = sum(s.fault for s in trimmed(new, TRIM_PART, SICK)) >= SPREAD_LEAST or self.faults_least == 1
+        if spread and faulty_chance(new, old, self.faults_least, FAULT_FLOOR) < self.doubt:
             return True
         # The same seconds on both sides: a shared trouble is in both. What slows all slows its own too.
         recent = ([s for s in arm if s.at > now - RECENT_S] for arm in (new, old))
@@ -512,8 +511,7 @@
             self.strikes = 0
         if self.strikes >= STRIKES:
             return True
-        flagged = self.wrongs.count(number)
-        total = max(flagged, len(new))
+        flagged, total = self.wrongs.count(number), max(self.wrongs.count(number), len(new))
         return flagged >= FAULTS_LEAST and tail_chance(flagged, total, FAULT_FLOOR) < self.doubt
 
     def ballot(self, now: float) -> None:
