--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -74,6 +74,29 @@
         compare(self, "clocked", [line for line in play.lines if "vote" in line])
 
 
+    def faults(self, fronts: int, votes: int) -> list[str]:
+        """A trial of three nodes, each of which fails one txn."""
+        play = Play({"a": 1, "c": 2, "d": 2, "e": 2}, fronts=fronts, on_votes=votes, back_votes=votes)
+        play.stage(2, 0, 1.0)
+        tried, failed = 0, []
+        for _ in range(250):
+            play.take(LOOK)
+            play.wait(0.1)
+            node = play.waiting[0].node
+            tried += node.release == 2
+            bad = node.release == 2 and node not in failed and tried > 6 * len(failed) + 5
+            failed += [node] if bad else []
+            play.end(Result.FAULT if bad else Result.SETTLED)
+            while play.waiting:
+                play.end()
+        return [line for line in play.lines if "back" in line][:1]
+
+    def test_shared_doubt(self) -> None:
+        """Three faults send back at one of 4 fronts, not of 400; one is enough where 40 votes are needed."""
+        lines = ["4 fronts, 1 vote", *self.faults(4, 1), "400 fronts, 1 vote", *self.faults(400, 1)]
+        compare(self, "shared-doubt", [*lines, "400 fronts, 40 votes", *self.faults(400, 40)])
+
+
 class Rules(unittest.TestCase):
     def test_every_txn_answered(self) -> None:
         """With no node to send to, txns are declined while the client still waits; a silent one is voided."""
@@ -132,6 +155,22 @@
                 counts = {"a": 0, "b": 0}
         compare(self, "cold", [line for line in play.lines if "->" not in line])
 
+    def test_cold_of_many_fronts(self) -> None:
+        """A cold node gets no rush from 200 fronts with a txn every 2 s; a warm peer gets 10 a second."""
+        plays = [Play({f"n{i}": 1 for i in range(9)}, seed=i, fronts=200) for i in range(200)]
+        sent = [0] * 6
+        for turn in range(24):
+            for i, play in enumerate(plays):
+                if turn == 12:
+                    play.list({"n9": (1, play.now, True)}, whole=False)
+                if (turn + i) % 4 == 0:
+                    play.take(LOOK)
+                    sent[(turn - 12) // 2] += turn >= 12 and play.waiting[-1].node.name == "n9"
+                play.wait(0.5)
+                while play.waiting:
+                    play.end()
+        compare(self, "cold-of-many-fronts", [f"second {n}: {count} txns" for n, count in enumerate(sent)])
+
     def test_cap(self) -> None:
         """In any 2 s the trial gets at most 1 + 0.2 of what was taken; nothing once the cap is 0."""
         play = Play({"a": 1, "c": 2}, guarded_stages=1)
@@ -166,6 +205,35 @@
 
 
 class Troubles(unittest.TestCase):
+    def test_nodes_used(self) -> None:
+        """A front with a txn a second uses 4 nodes of 12, and soon leaves one that is slow."""
+        play = Play({f"n{i:02}": 1 for i in range(12)}, fronts=100)
+        play.stage(1, 1, 1.0, Phase.RELEASED)
+        slow = play.judge.used[1][0].node
+        for turn in range(40):
+            play.take(LOOK)
+            play.wait(1.0)
+            while play.waiting:
+                play.end(took=0.9 if play.waiting[0].node is slow else 0.1)
+            if turn % 8 == 0:
+                used = [seat.node.name for seat in play.judge.used[1]]
+                play.say(f"{' '.join(sorted(used))}{', the slow one too' if slow.name in used else ''}")
+        compare(self, "nodes-used", [line for line in play.lines if "txn" not in line])
+
+    def test_all_slow(self) -> None:
+        """Once answers take long, a front with hardly any traffic has one txn open and holds the next."""
+        play = Play({f"n{i}": 1 for i in range(6)}, fronts=400)
+        play.stage(1, 1, 1.0, Phase.RELEASED)
+        for _ in range(8):
+            play.take(LOOK)
+            play.wait(0.7)
+            play.end(took=0.7)
+        play.take(LOOK)
+        play.take(LOOK)
+        play.say("the first of the two ends")
+        play.end(took=0.0)
+        compare(self, "all-slow", play.lines[8:])
+
     def test_list_fails(self) -> None:
         """A list that must be asked is asked again after growing waits, well within its figure of 10 s."""
         play = Play({"a": 1}, must_ask=True)
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -36,10 +36,10 @@
 class Play:
     """Calls one Judge by hand on a clock of its own and writes down its orders."""
 
-    def __init__(self, nodes: dict[str, int], **told: object) -> None:
+    def __init__(self, nodes: dict[str, int], seed: int = 7, **told: object) -> None:
         self.now, self.lines, self.txns = 100.0, [], 0
         self.waiting: list[Submission] = []
-        self.judge = Judge(terms(**told), 7, self.now)
+        self.judge = Judge(terms(**told), seed, self.now)
         self.nodes = {name: Node(name) for name in nodes}
         self.list({name: (rel, 0.0, True) for name, rel in nodes.items()})
 
