--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -87,7 +87,7 @@
         votes = max(1, terms.back_votes)
         self.least_ever = LEAST_EVER // max(1, terms.on_votes)
         self.slow_least = max(LEAST_EVER, LEAST // votes)
-        self.faults_least, self.doubt = ceil(FAULTS_LEAST / votes), (DOUBT / terms.fronts) ** (1 / votes)
+        self.faults_least, self.doubt = ceil(FAULTS_LEAST / votes), votes / terms.fronts * DOUBT ** votes**-0.5
         self.open_least = max(1.0, OPEN_ALL / terms.fronts)
         self.open_s = OPEN_S * fmean(p.sla_s for p in terms.products)
         self.seats: dict[Node, Seat] = {}
@@ -475,8 +475,8 @@
             self.evidence.add(Sample(now, seat.node, product, fault, took, spent, cold))
 
     def watched(self, now: float) -> bool:
-        late = self.release.phase is Phase.RELEASED and now > self.stage_at + WATCH_S
-        return not late and self.release.phase in (Phase.TRIAL, Phase.RELEASED)
+        early = now <= self.stage_at + WATCH_S
+        return self.release.phase is Phase.TRIAL or (early and self.release.phase is Phase.RELEASED)
 
     def verdict(self, now: float) -> Verdict:
         rel = self.release
