--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -30,7 +30,7 @@
 AFTER = 1.5  # times slower still before a build is blamed after its release: rolls and bursts are slow too
 PACE_S, SETTLED_S, LASTING_S = 2.0, 1.0, 5.0  # s; times this fresh; the least spell; it counts once more
 WHOLE = 0.9  # of the units before the trial: what must be there, warm, for slowness to tell
-STRIKES, ALIKE = 2, 0.6  # slownesses of all for a vote back; unless the new build is this much quicker
+STRIKES, ALIKE = 2, 0.6  # slownesses of all for a lone vote back, one more for others; clearly quicker
 # Votes.
 LEAST, LEAST_PER_S, LEAST_EVER = 20, 3.0, 4  # outcomes; the design's least, less each second, and at least
 FAULTS_LEAST = 3  # faults; two may be one bad second of one machine
@@ -87,7 +87,8 @@
         votes = max(1, terms.back_votes)
         self.least_ever = LEAST_EVER // max(1, terms.on_votes)
         self.slow_least = max(LEAST_EVER, LEAST // votes)
-        self.faults_least, self.doubt = ceil(FAULTS_LEAST / votes), votes / terms.fronts * DOUBT ** votes**-0.5
+        self.faults_least, self.strikes_least = ceil(FAULTS_LEAST / votes), STRIKES + (votes > 1)
+        self.doubt = votes / terms.fronts * DOUBT ** votes**-0.5  # that so many of all fronts err at once
         self.open_least = max(1.0, OPEN_ALL / terms.fronts)
         self.open_s = OPEN_S * fmean(p.sla_s for p in terms.products)
         self.seats: dict[Node, Seat] = {}
@@ -219,14 +220,15 @@
         self.used = tuple(sorted(arm, key=lambda s: s.draw)[: self.used_most] for arm in warm)
 
     def change(self, now: float) -> None:
-        """Exchange the used node that looks worst, and fit the number of them to the traffic."""
         self.change_at = now + CHANGE_S * self.chance.uniform(0.7, 1.3)
         lived = max(1.0, min(now - self.started, self.cap_s + RATE_S))
         self.rate = self.takes.since(now - lived, "all") / lived
         self.used_most = max(USED_LEAST, round(USED_S * self.rate))
-        used = [s for s in self.used[1] if self.used_most < len(self.older)]
-        if used:
-            max(used, key=lambda s: s.slowness(now - RECENT_S)).draw = self.chance.random()
+        rest = [s for s in self.older if s.warm_at <= now and s not in self.used[1]]
+        if rest:
+            worst = max(self.used[1], key=lambda s: s.slowness(now - RECENT_S))
+            other = self.chance.choice(rest)
+            worst.draw, other.draw = other.draw, worst.draw
         self.choose(now)
 
     def room(self, now: float, txn: Txn) -> bool:
@@ -372,19 +374,17 @@
         if not self.fresh or self.cold_credit < 1.0 or not slack:
             return None
         for seat in self.chance.choices(self.fresh, k=COLD_DRAWS):
-            chosen = seat in arm and self.chance.random() < seat.warmth(now)
-            if chosen and self.open_to(now, txn, seat, floor):
+            if seat in arm and self.chance.random() < seat.warmth(now) and self.open_to(now, txn, seat, floor):
                 return seat
         return None
 
     def submit(self, now: float, txn: Txn, seat: Seat) -> None:
-        node = seat.node
         if now < seat.warm_at:
             self.cold_credit -= 1.0
         if seat in self.trial:
             self.credit -= seat.warm_at <= now
-            self.sends.add(now, (node.release, "all"), (node.release, txn.product))
-        sub = Submission(txn, node, now, txn.expiry - now, len(txn.submissions))
+            self.sends.add(now, (seat.node.release, "all"), (seat.node.release, txn.product))
+        sub = Submission(txn, seat.node, now, txn.expiry - now, len(txn.submissions))
         for kept in (txn.submissions, seat.open, self.open):
             kept.append(sub)
         move(txn, State.SUBMITTED)
@@ -475,8 +475,8 @@
             self.evidence.add(Sample(now, seat.node, product, fault, took, spent, cold))
 
     def watched(self, now: float) -> bool:
-        early = now <= self.stage_at + WATCH_S
-        return self.release.phase is Phase.TRIAL or (early and self.release.phase is Phase.RELEASED)
+        phase, early = self.release.phase, now <= self.stage_at + WATCH_S
+        return phase is Phase.TRIAL or (early and phase is Phase.RELEASED)
 
     def verdict(self, now: float) -> Verdict:
         rel = self.release
@@ -509,13 +509,12 @@
             return True
         if self.bound and len(paces) >= self.slow_least and fmean(paces) <= ALIKE:
             self.strikes = 0
-        if self.strikes >= STRIKES:
+        if self.strikes >= self.strikes_least:
             return True
-        flagged, total = self.wrongs.count(number), max(self.wrongs.count(number), len(new))
-        return flagged >= FAULTS_LEAST and tail_chance(flagged, total, FAULT_FLOOR) < self.doubt
+        flagged = self.wrongs.count(number)
+        return flagged >= FAULTS_LEAST and tail_chance(flagged, flagged + len(new), FAULT_FLOOR) < self.doubt
 
     def ballot(self, now: float) -> None:
-        """Cast, renew or take away the vote as the verdict wants it."""
         if self.release is None or now < self.vote_next:
             return
         vote = (self.release.number, self.release.stage, self.verdict(now))
