--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -374,7 +374,8 @@
         if not self.fresh or self.cold_credit < 1.0 or not slack:
             return None
         for seat in self.chance.choices(self.fresh, k=COLD_DRAWS):
-            if seat in arm and self.chance.random() < seat.warmth(now) and self.open_to(now, txn, seat, floor):
+            warm = seat in arm and self.chance.random() < seat.warmth(now)
+            if warm and self.open_to(now, txn, seat, floor):
                 return seat
         return None
 
