--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -225,7 +225,7 @@
         self.rate = self.takes.since(now - lived, "all") / lived
         self.used_most = max(USED_LEAST, round(USED_S * self.rate))
         rest = [s for s in self.older if s.warm_at <= now and s not in self.used[1]]
-        if rest:
+        if rest and self.used_most < len(self.older):
             worst = max(self.used[1], key=lambda s: s.slowness(now - RECENT_S))
             other = self.chance.choice(rest)
             worst.draw, other.draw = other.draw, worst.draw
