--- /dev/null
+++ b/pinward/__main__.py
@@ -0,0 +1,29 @@
+"""One real front, told its place by ROUTER_CONFIG; SIGTERM ends it once it has answered all it took."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import sys
+
+from pinward.config import FaultyKeyError, read_branch
+from pinward.net.front import Front
+from pinward.net.log import Log
+
+
+def main() -> int:
+    try:
+        branch = read_branch()
+    except FaultyKeyError as fault:
+        print(f"pinward: {fault}", file=sys.stderr)
+        return 2
+    told, teller = socket.socketpair()
+    teller.setblocking(False)
+    signal.set_wakeup_fd(teller.fileno())
+    signal.signal(signal.SIGTERM, lambda *_: None)
+    Front(branch, Log(branch.name)).run(leave=told)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/pinward/figures.py
+++ b/pinward/figures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import deque
 from collections.abc import Iterable
 from math import exp, inf, lgamma, log, sqrt
@@ -28,20 +29,19 @@
 
     def __init__(self, keep_s: float) -> None:
         self.keep_s = keep_s
-        self.times: deque[float] = deque()
+        self.times: list[float] = []
+        self.old = 0  # so many at the front are past keeping
 
     def add(self, now: float) -> None:
         self.times.append(now)
-        while self.times[0] < now - self.keep_s:
-            self.times.popleft()
+        if self.times[self.old] < now - self.keep_s:
+            self.old = bisect_left(self.times, now - self.keep_s, self.old)
+            if 2 * self.old > len(self.times):
+                del self.times[: self.old]
+                self.old = 0
 
     def since(self, start: float) -> int:
-        count = 0
-        for at in reversed(self.times):
-            if at < start:
-                break
-            count += 1
-        return count
+        return len(self.times) - bisect_left(self.times, start, self.old)
 
 
 class Tally:
--- /dev/null
+++ b/pinward/net/discovery.py
@@ -0,0 +1,78 @@
+"""The list of nodes: asked for whole, then watched by calls that wait for news."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from pinward.net import http
+from pinward.net.ring import Link, connect
+from pinward.net.scheduler import Scheduler
+
+PATH = b"/registry/instances"
+
+Body = dict[str, Any]
+
+
+class Discovery:
+    """Calls back with each list and with each failure; after a failure it waits until told to go on."""
+
+    def __init__(
+        self, tasks: Scheduler, where: tuple[str, int], size: int, hold_s: float, answer_s: float,
+        heard: Callable[[Body], None], lost: Callable[[str], None],
+    ) -> None:  # fmt: skip
+        self.tasks, self.where, self.size = tasks, where, size
+        self.hold_s, self.answer_s, self.heard, self.lost = hold_s, answer_s, heard, lost
+        self.rev: int | None = None
+        self.asked = False
+        self.link: Link | None = None
+        self.task = tasks.spawn(self.run)
+
+    def watch(self) -> None:
+        """Follow the list from now on."""
+        self.asked = True
+        self.tasks.wake(self.task)
+
+    def run(self) -> None:
+        while True:
+            while not self.asked:
+                self.tasks.wait()
+            try:
+                while True:
+                    self.heard(self.call())
+            except (OSError, http.MalformedError, ValueError, KeyError, TypeError) as fault:
+                if self.link is not None:
+                    self.link.close()
+                    self.link = None
+                self.asked = False
+                self.lost(f"{type(fault).__name__}: {fault}")
+
+    def call(self) -> Body:
+        """One call, which waits at the agent for something newer than what is known."""
+        hold_s = 0.0 if self.rev is None else self.hold_s
+        until = self.tasks.now() + hold_s + self.answer_s
+        if self.link is None:
+            self.link = connect(self.tasks, self.where, self.size, until)
+        query = b"" if self.rev is None else b"?from=%d&hold_ms=%d" % (self.rev, hold_s * 1000)
+        self.link.send(http.request(b"GET", PATH + query, {b"Host": b"discovery"}), until)
+        reader, message = http.Reader(answers=True, body_most=self.LIST_MOST), None
+        while message is None:
+            if self.tasks.now() >= until:
+                raise TimeoutError("discovery says nothing")
+            self.tasks.wait(until, self.link.reads)
+            self.link.fill()
+            message = reader.step(self.link.inbox, self.link.ended)
+            if message is None and self.link.ended:
+                raise ConnectionError("discovery ended the connection")
+        if not message.stays:
+            self.link.close()
+            self.link = None
+        if message.status != 200:
+            raise ConnectionError(f"discovery answered {message.status}")
+        news = orjson.loads(message.body)
+        self.rev = int(news["rev"])
+        return news
+
+    LIST_MOST = 4 * 1024 * 1024  # bytes of a list: some ten thousand nodes
--- /dev/null
+++ b/pinward/net/front.py
@@ -0,0 +1,411 @@
+"""A front: its listener, and the life of each txn from what its client asks to its final answer.
+
+To embed it: `Front(branch, log).run()`, with a `Branch` of `pinward.config`; see `pinward/__main__.py`.
+"""
+
+from __future__ import annotations
+
+import socket
+import traceback
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from pinward.config import Branch, address
+from pinward.net import http, log
+from pinward.net.discovery import Discovery
+from pinward.net.log import Log, hold
+from pinward.net.platform import Platform, release
+from pinward.net.pool import Pool
+from pinward.net.ring import Link, listen
+from pinward.net.scheduler import READ, Scheduler, Task
+from pinward.rules import Judge
+from pinward.terms import Count, Kind, Listing, Node, Release, Reply, Result, State, Submission, Txn, Verb
+
+READY, LIVE = b"/health/ready", b"/health/live"
+PASSED_ON = (b"host", b"request-id", b"idempotency-key", b"content-type")  # to nodes, unchanged
+Outcome = tuple[Result, http.Message | None]
+GONE = 0  # in place of a status: nobody is there to be answered
+LINGER_S = 0.5  # s without a new client after which a leaving front takes no more
+
+
+@dataclass
+class Desk:
+    """What the front keeps of an open txn: who works on it, and the Judge's words that wait for them."""
+
+    task: Task
+    product: str
+    words: deque[tuple] = field(default_factory=deque)
+
+
+class Front:
+    def __init__(self, branch: Branch, log: Log) -> None:
+        self.branch, self.log, self.tasks = branch, log, Scheduler()
+        self.tasks.failed = self.failed
+        self.judge = Judge(branch.terms, branch.seed, self.tasks.now())
+        self.slack_s = branch.terms.answer_slack_s
+        self.patience_s = max(p.expiry_s for p in branch.terms.products)
+        self.nodes: dict[str, Node] = {}
+        self.pool = Pool(
+            self.tasks, branch.links_most, branch.ring_bytes, branch.connect_s, branch.node_idle_s / 2
+        )
+        self.idle: dict[Link, Task] = {}  # clients between two txns, the longest idle first
+        self.clients, self.ready, self.leaving, self.shut = 0, False, False, False
+        self.accepted_at, self.stands = self.tasks.now(), None
+
+    def run(self, leave: socket.socket | None = None) -> None:
+        """Serves until something comes on `leave`, then finishes what was taken and returns."""
+        branch, terms, spawn = self.branch, self.branch.terms, self.tasks.spawn
+        self.listener = listen(branch.listen)
+        self.listed(branch.known, old=True)
+        if branch.news:
+            self.news(release([branch.news[k] for k in ("build", "stage", "phase", "cap", "age_ms")]), None)
+        self.discovery = Discovery(
+            self.tasks, branch.discovery, branch.ring_bytes, terms.ask_within_s / 2, terms.ask_within_s / 4,
+            self.listed, self.list_lost,
+        )  # fmt: skip
+        self.platform = Platform(
+            self.tasks, branch.platform, branch.ring_bytes, branch.products, branch.connect_s,
+            terms.vote_answer_s, self.news, self.counted, self.platform_lost,
+        )  # fmt: skip
+        self.ticker = spawn(self.tick)
+        self.door = spawn(self.accept)
+        if leave is not None:
+            spawn(self.leave, leave)
+        self.log.say("start", listen=branch.listen, links_most=branch.links_most)
+        self.tasks.run()
+        self.log.say("stop", broken=log.broken, dropped=self.log.dropped)
+        self.log.flush(100)
+
+    # The Judge: every call goes through `tell`, which carries out what was ordered.
+
+    def tell(self, call: Callable[..., None], *things: object, **more: object) -> None:
+        try:
+            call(self.tasks.now(), *things, **more)
+        except Exception:
+            self.log.say("fault", where="rules", trace=traceback.format_exc())
+            hold(False, "the Judge raises nothing")
+        self.carry_out()
+
+    def carry_out(self) -> None:
+        orders, self.judge.orders = self.judge.orders, []
+        for verb, *things in orders:
+            if verb in (Verb.SUBMIT, Verb.RECALL, Verb.DECLINE, Verb.VOID):
+                txn = things[0] if isinstance(things[0], Txn) else things[0].txn
+                txn.tag.words.append((verb, *things))
+                self.tasks.wake(txn.tag.task)
+            elif verb is Verb.VOTE:
+                number, stage, verdict = things
+                self.log.say("vote", release=number, stage=stage, verdict=verdict.name.lower())
+                self.platform.vote(number, stage, verdict)
+            elif verb is Verb.WATCH:
+                self.discovery.watch()
+            else:
+                self.log.say("note", line=things[0])
+
+    def tick(self) -> None:
+        while True:
+            self.tasks.wait(self.judge.wake_at)
+            if self.tasks.now() >= self.judge.wake_at:
+                self.tell(self.judge.wake)
+
+    # What discovery and the platform say.
+
+    def listed(self, news: dict[str, Any], old: bool = False) -> None:
+        lines = [self.listing(entry) for entry in news["targets"]]
+        self.ready = self.ready or not old
+        if lines or news["all"]:
+            self.log.say("list", rev=news["rev"], whole=news["all"], nodes=len(lines), old=old)
+        self.tell(self.judge.fleet, lines, whole=news["all"], old=old)
+
+    def listing(self, entry: dict[str, Any]) -> Listing:
+        zones, name = self.branch.zones, entry["uid"]
+        node = self.nodes.setdefault(name, Node(name))
+        started = (entry.get("boot_ms") or 0) / 1000
+        if started != node.started:
+            self.pool.forget(node)
+        self.pool.locate(node, address(entry["endpoint"]))
+        return Listing(
+            node,
+            release=int(entry["release"]),
+            zone=zones.index(entry["az"]) if entry.get("az") in zones else 0,
+            cell=entry.get("pod_group") or 0,
+            units=1.0 if entry.get("capacity_hint") is None else entry["capacity_hint"],
+            started=started,
+            ready=entry["state"] == "up",
+        )
+
+    def list_lost(self, why: str) -> None:
+        self.log.say("list-lost", why=why)
+        self.ready = True  # it serves with the list that it had
+        self.tell(self.judge.list_failed)
+
+    def news(self, news: Release | None, reply: Reply | None) -> None:
+        if reply is not None:
+            self.log.say("vote-answer", reply=reply.name.lower())
+        if news and (stands := (news.number, news.stage, news.phase.name.lower(), news.cap)) != self.stands:
+            self.stands = stands
+            self.log.say("release", **dict(zip(("number", "stage", "phase", "cap"), stands, strict=True)))
+        self.tell(self.judge.news, news, reply)
+
+    def counted(self, count: Count) -> None:
+        self.tell(self.judge.counted, count)
+
+    def platform_lost(self, why: str) -> None:
+        self.log.say("platform-lost", why=why)
+
+    # Clients.
+
+    def accept(self) -> None:
+        while not self.shut:
+            self.tasks.wait(float("inf"), (self.listener.fileno(), READ))
+            while self.clients < self.branch.links_most or self.make_room():
+                try:
+                    sock, _ = self.listener.accept()
+                except BlockingIOError:
+                    break
+                except OSError as fault:  # gone again, or no descriptor left
+                    self.log.say("accept", fault=str(fault))
+                    break
+                self.accepted_at = self.tasks.now()
+                self.clients += 1
+                self.tasks.spawn(self.serve, Link(self.tasks, sock, self.branch.ring_bytes))
+            else:
+                self.tasks.wait(self.tasks.now() + 0.05)
+        self.listener.close()
+
+    def make_room(self) -> bool:
+        """Sends the client away that has been idle longest; False where all are busy."""
+        return any(self.dismiss(link) for link in list(self.idle))
+
+    def dismiss(self, link: Link) -> bool:
+        """Ends an idle client's connection, unless it has just begun to ask."""
+        task = self.idle.pop(link)
+        link.ended = link.ended or not link.stale()
+        self.tasks.wake(task)
+        return link.ended
+
+    def serve(self, link: Link) -> None:
+        """One client's connection, txn after txn."""
+        reader, stays = http.Reader(), True
+        try:
+            while stays and (ask := self.read(link, reader)) is not None:
+                stays = self.reply(link, ask)
+        except http.CutShortError:
+            pass
+        except http.MalformedError as fault:
+            self.log.say("malformed", why=str(fault), status=fault.status)
+            self.farewell(link, http.answer(fault.status, b"", stays=False))
+        except OSError:
+            pass  # the client broke the connection
+        except Exception as fault:
+            self.farewell(link, http.answer(502, b"", stays=False))
+            self.failed(fault)
+        finally:
+            self.idle.pop(link, None)
+            link.close()
+            self.clients -= 1
+
+    def read(self, link: Link, reader: http.Reader) -> http.Message | None:
+        """What the client asks next; None where it ends the connection, or we do."""
+        until, word_sent = float("inf"), False
+        self.idle[link] = self.tasks.current()
+        while True:
+            ask = reader.step(link.inbox, link.ended)
+            if ask is not None or link.ended:
+                self.idle.pop(link, None)
+                return ask
+            if (reader.begun or link.inbox.used) and until == float("inf"):
+                self.idle.pop(link, None)
+                until = self.tasks.now() + self.patience_s
+            if self.tasks.now() >= until:
+                raise http.MalformedError("takes too long to ask")
+            if reader.wants_word and not word_sent:
+                word_sent = True
+                link.send(b"HTTP/1.1 100 Continue\r\n\r\n", until)
+            self.tasks.wait(until, link.reads)
+            link.fill()
+
+    def reply(self, link: Link, ask: http.Message) -> bool:
+        """Answers what a client asked; True where the connection stays."""
+        path = ask.start[1].partition(b"?")[0]
+        if path in (READY, LIVE):
+            status, body, more = 200 if path == LIVE or (self.ready and not self.leaving) else 503, b"", {}
+        else:
+            status, body, more = self.live(link, ask)
+        if status == GONE:
+            return False
+        stays = ask.stays and not self.leaving
+        data = http.answer(status, body, stays, more)
+        if stays:
+            link.send(data, self.tasks.now() + self.patience_s)
+        else:
+            self.farewell(link, data)
+        return stays
+
+    def farewell(self, link: Link, data: bytes) -> None:
+        """A last answer; what the client still sends is read, or the answer might be lost with it."""
+        until = self.tasks.now() + self.patience_s
+        try:
+            link.send(data, until)
+            link.sock.shutdown(socket.SHUT_WR)
+            until = min(until, self.tasks.now() + 1.0)
+            while not link.ended and self.tasks.now() < until:
+                link.inbox.skip(link.inbox.used)
+                self.tasks.wait(until, link.reads)
+                link.fill()
+        except OSError:
+            pass
+
+    # Txns.
+
+    def admit(self, ask: http.Message) -> Txn:
+        """The txn that a client asks for, taken now."""
+        fields, now = ask.fields, self.tasks.now()
+        name, allowed = text(ask, b"request-class"), fields.get(b"request-timeout-ms", b"")
+        product, key = self.branch.products.get(name), fields.get(b"idempotency-key")
+        if product is None or not fields.get(b"request-id") or not allowed.isdigit() or len(allowed) > 9:
+            raise http.MalformedError("its id, product or time cannot be read")
+        if product.kind is Kind.REFERENCED and not key:
+            raise http.MalformedError("a referenced txn without its mark")
+        customer = self.branch.customers.get(text(ask, b"tenant"))
+        expiry = now + min(int(allowed) / 1000, product.expiry_s)
+        return Txn(product, customer, expiry, taken=now, tag=Desk(self.tasks.current(), name))
+
+    def live(self, link: Link, ask: http.Message) -> tuple[int, bytes, dict[bytes, bytes]]:
+        """The life of a txn: its final answer, or GONE where the client left before it."""
+        txn = self.admit(ask)
+        self.tell(self.judge.take, txn)  # the Judge chooses a node, or lets it wait, or gives it up
+        while True:
+            verb, *things = self.word(link, txn)
+            if verb is Verb.SUBMIT:
+                result, answer = self.submit(link, ask, things[0])
+                over = result is Result.SETTLED or txn.state is State.LEFT
+                took = self.tasks.now() - things[0].sent
+                self.tell(self.judge.ended, things[0], result, took, over)  # it chooses again, unless over
+                if over:
+                    settled = result is Result.SETTLED and txn.state is not State.LEFT
+                    final = (200, answer.body, kept_of(answer)) if settled else (GONE, b"", {})
+                    break
+            elif verb is Verb.DECLINE:
+                final = (503, b"", {b"Retry-After": b"%.3f" % things[1]} if things[1] else {})
+                break
+            elif verb is Verb.VOID:
+                final = (502, b"", {})
+                break
+            else:
+                self.tell(self.judge.left, txn)  # the client has gone: nothing is owed
+                final = (GONE, b"", {})
+                break
+        subs = [f"{s.node.name} {s.result.name.lower()}" for s in txn.submissions if s.result]
+        told = {"product": txn.tag.product, "state": txn.state.name.lower(), "subs": subs}
+        self.log.say("txn", id=text(ask, b"request-id"), took=round(self.tasks.now() - txn.taken, 4), **told)
+        return final
+
+    def word(self, link: Link, txn: Txn) -> tuple:
+        """The Judge's next word on a txn; LEFT once its client has gone."""
+        words, until = txn.tag.words, txn.expiry + self.slack_s
+        while True:
+            while words and words[0][0] is Verb.RECALL:  # of a submission that has ended meanwhile
+                words.popleft()
+            if words:
+                return words.popleft()
+            if self.tasks.now() >= until:
+                hold(False, "the Judge answers every txn in time")
+                self.tell(self.judge.left, txn)
+                return (Verb.VOID, txn)
+            if self.tasks.wait(until, link.hangs_up):
+                return (State.LEFT,)
+
+    def submit(self, link: Link, ask: http.Message, sub: Submission) -> Outcome:
+        """Carries a submission to its node and back, and goes on if the client leaves: its end is news."""
+        until, line = sub.sent + sub.allow_s, None
+        try:
+            line = self.pool.take(sub.node, until)
+            if line is None or sub.txn.tag.words:  # no connection is to be had, or it was taken back
+                if line is not None:
+                    self.pool.give(sub.node, line)
+                return Result.NEVER_SENT, None
+            line.send(self.passed_on(ask, until), until)
+        except OSError:
+            if line is not None:
+                self.pool.close(line)
+            return Result.UNREACHABLE if self.tasks.now() < until else Result.NEVER_SENT, None
+        result, answer = self.hear(link, line, sub, until)
+        if answer is not None and answer.stays and not line.inbox.used and not line.ended:
+            self.pool.give(sub.node, line)
+        else:
+            self.pool.close(line)
+        return result, answer
+
+    def hear(self, link: Link, line: Link, sub: Submission, until: float) -> Outcome:
+        """What a node answers to a submission that was written whole."""
+        reader, txn, client = http.Reader(answers=True), sub.txn, link.hangs_up
+        while True:
+            watched = (line.reads,) if txn.state is State.LEFT else (line.reads, client)
+            fired = self.tasks.wait(until, *watched)
+            if client[0] in fired:
+                self.tell(self.judge.left, txn)
+            try:
+                line.fill()
+                answer = reader.step(line.inbox, line.ended)
+            except http.CutShortError:
+                return Result.BROKEN, None
+            except http.MalformedError as fault:
+                self.log.say("malformed", node=sub.node.name, why=str(fault))
+                return Result.FAULT, None
+            except OSError:
+                return Result.BROKEN, None
+            if answer is not None:
+                return graded(answer), answer
+            if line.ended:
+                return Result.BROKEN, None
+            if any(verb is Verb.RECALL for verb, *_ in txn.tag.words):
+                return Result.RECALLED, None
+            if self.tasks.now() >= until:
+                return Result.SILENT, None
+
+    def passed_on(self, ask: http.Message, until: float) -> bytes:
+        fields = {name.title(): ask.fields[name] for name in PASSED_ON if name in ask.fields}
+        fields[b"Request-Timeout-Ms"] = b"%d" % max(1, (until - self.tasks.now()) * 1000)
+        return http.request(ask.start[0], ask.start[1], fields, ask.body)
+
+    # The end.
+
+    def leave(self, told: socket.socket) -> None:
+        """Takes what still comes, finishes what was taken, and ends."""
+        self.tasks.wait(float("inf"), (told.fileno(), READ))
+        self.leaving = True
+        began = self.accepted_at = self.tasks.now()
+        self.log.say("leaving", clients=self.clients)
+        while (now := self.tasks.now()) < min(self.accepted_at + LINGER_S, began + self.patience_s):
+            self.tasks.wait(now + 0.02)
+        self.shut = True
+        self.tasks.wake(self.door)
+        for link in list(self.idle):
+            self.dismiss(link)
+        while self.clients and self.tasks.now() < began + 2 * self.patience_s:
+            self.tasks.wait(self.tasks.now() + 0.02)
+        self.tasks.stop()
+
+    def failed(self, fault: Exception) -> None:
+        """A task ended by an exception that nothing foresaw."""
+        self.log.say("fault", where="net", trace="".join(traceback.format_exception(fault)))
+        hold(False, "no task ends by an exception")
+
+
+def graded(answer: http.Message) -> Result:
+    if answer.status == 200:
+        return Result.SETTLED
+    if answer.status in (503, 504) and answer.fields.get(b"not-started") == b"1":
+        return Result.TURNED_AWAY
+    return Result.FAULT
+
+
+def kept_of(answer: http.Message) -> dict[bytes, bytes]:
+    return {b"Content-Type": answer.fields[b"content-type"]} if b"content-type" in answer.fields else {}
+
+
+def text(ask: http.Message, name: bytes) -> str:
+    return ask.fields.get(name, b"").decode("latin-1")
--- a/pinward/wirehost/codec.py
+++ b/pinward/wirehost/codec.py
@@ -5,34 +5,12 @@
 import json
 from typing import Any
 
+from pinward.config import FaultyKeyError, Sheet, decode_terms
 from pinward.rules import Judge
-from pinward.terms import (
-    Count,
-    Customer,
-    Gate,
-    Group,
-    Kind,
-    Listing,
-    Node,
-    Phase,
-    Product,
-    Release,
-    Reply,
-    Result,
-    Submission,
-    Terms,
-    Txn,
-    Verb,
-    Verdict,
-)
+from pinward.terms import Count, Listing, Node, Phase, Release, Reply, Result, Submission, Txn, Verb, Verdict
 
 Body = dict[str, Any]
 
-KINDS = {
-    "read_like": Kind.INQUIRY_LIKE,
-    "idempotency_key": Kind.REFERENCED,
-    "non_idempotent": Kind.ONCE_ONLY,
-}
 RESULTS = {
     "GOOD": Result.SETTLED,
     "BAD": Result.FAULT,
@@ -52,8 +30,6 @@
 }
 PHASES = [Phase.TRIAL, Phase.GOING_BACK, Phase.RELEASED, Phase.WITHDRAWN]
 VERDICTS = {Verdict.NONE: 0, Verdict.ON: 1, Verdict.HOLD: 2, Verdict.BACK: 3}
-GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
-GATES = {"single": Gate.SINGLE, "majority": Gate.MAJORITY, "clocked": Gate.CLOCKED}
 UNUSED = ("pong", "mail")  # never sent to a front that neither probes nor writes to its peers
 
 
@@ -61,75 +37,12 @@
     """A message that cannot be read; its text says which and why."""
 
 
-def decode_terms(facts: Body) -> Terms:
-    """What `create` carries, in the words of the interface; unknown keys are passed over."""
-    extra, limits, rules = facts["extra"], facts["limits"], facts["safety"]
-    return Terms(
-        fronts=int(facts["fleetSize"]),
-        number=int(facts["slotNo"]),
-        zone=facts.get("myZone") or 0,
-        products=[
-            Product(
-                sla_s=p["aimS"],
-                expiry_s=p["giveUpS"],
-                revenue=p["credit"],
-                late_share=p.get("lateShare") or 0.0,
-                kind=KINDS[p["effect"]],
-                group=GROUPS.get(p.get("group") or "all"),
-                memory_s=p.get("memorySpanS") or 0.0,
-                streaming=bool(p.get("streaming")),
-            )
-            for p in facts["lanes"]
-        ],
-        customers=[Customer(c["fraction"], c["quotaRps"]) for c in facts.get("projects") or []],
-        over_share_worth=facts.get("overShareWorth") or 0.0,
-        must_ask=facts["discovery"] == "on_request",
-        ask_within_s=rules["askWithinS"],
-        answer_slack_s=rules["answerSlackS"],
-        cold_from=rules["coldFrom"],
-        cold_s=rules["coldS"],
-        drain_grace_s=rules["drainGraceS"],
-        fall_multiple=rules["tipMultiple"],
-        fall_s=rules["overloadForS"],
-        max_submissions=limits["maxAttempts"],
-        may_recall=bool(limits.get("cancelling")),
-        may_copy=bool(limits.get("secondCopies")),
-        may_probe=bool(limits.get("probing")),
-        may_tell=bool(limits.get("peerMessages")),
-        may_defer=bool(limits.get("retryAfter")),
-        max_defer_s=limits.get("maxRetryAfterS") or 0.0,
-        gate=GATES[extra["gateMode"]],
-        in_place=extra["style"] == "rolling",
-        stage_caps=extra["stageCap"],
-        stage_shares=extra["waves"],
-        cap_by_product=extra["capScope"] == "per_lane",
-        cap_free=extra["uncounted"],
-        cap_window_s=extra["spanS"],
-        guarded_stages=extra.get("closedStages") or 0,
-        keys_stay=bool(extra.get("keysStay")),
-        warm_keys=bool(extra.get("warmKeys")),
-        on_votes=extra["onVotes"],
-        back_votes=extra["toAbort"],
-        hold_votes=extra.get("toPause") or 0,
-        vote_life_s=extra["ballotTtlS"],
-        vote_answer_s=extra["voteWaitS"],
-        votes_per_s=extra["votesPerS"],
-        soak_s=extra.get("soakS") or 0.0,
-        counts_every_s=extra.get("metricsPeriodS") or 0.0,
-        count_sample=extra.get("tallySample") or 0.0,
-        wrong_share=extra.get("flagShare") or 0.0,
-        behind_price=extra.get("lagFee") or 0.0,
-        harm_price=extra.get("harmPrice") or 0.0,
-        batch_s=facts["granularityS"],
-    )
-
-
 class Door:
     """One life of one front: its Judge, and the ids that stand for the Judge's objects."""
 
     def __init__(self, who: str, body: Body, now: float, life: int) -> None:
         self.who = who
-        self.terms = decode_terms(body["facts"])
+        self.terms = decode_terms(Sheet(body["facts"], "facts"))
         self.judge = Judge(self.terms, body["seed"], now)
         self.nodes: dict[str, Node] = {}
         self.txns: dict[str, Txn] = {}
@@ -351,6 +264,8 @@
 
 
 def describe(fault: BaseException) -> str:
+    if isinstance(fault, FaultyKeyError):
+        return str(fault)
     if isinstance(fault, KeyError):
         return f"missing or unknown: {fault}"
     return f"{type(fault).__name__}: {fault}"
