--- a/pinward/__main__.py
+++ b/pinward/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 import socket
 import sys
@@ -10,6 +11,8 @@
 from pinward.net.front import Front
 from pinward.net.log import Log
 
+COLLECT = (20_000, 20, 20)  # objects and rounds between collections: a txn leaves few, in short cycles
+
 
 def main() -> int:
     try:
@@ -17,6 +20,8 @@
     except FaultyKeyError as fault:
         print(f"pinward: {fault}", file=sys.stderr)
         return 2
+    gc.freeze()
+    gc.set_threshold(*COLLECT)
     told, teller = socket.socketpair()
     teller.setblocking(False)
     signal.set_wakeup_fd(teller.fileno())
--- a/pinward/config.py
+++ b/pinward/config.py
@@ -19,9 +19,9 @@
 T = TypeVar("T")
 NEEDED: Any = object()
 USUAL_MEMORY_MB, USUAL_SOCKETS = 192, 1024  # what a front may use where nothing else is told
-OWN_MEMORY_MB, OWN_SOCKETS = 64, 64  # what the program takes beside its connections
+OWN_MEMORY_MB, OWN_SOCKETS = 48, 24  # what the program takes beside its connections
 RING_BYTES = 16 * 1024  # of each direction of a connection: a head of 8 KiB twice
-LINK_BYTES = 2 * RING_BYTES + 128 * 1024  # the most that a connection holds: rings, a body, as much copied
+LINK_BYTES = 2 * RING_BYTES + 96 * 1024  # the most that a connection holds: rings, a body, part of it copied
 
 KINDS = {
     "read_like": Kind.INQUIRY_LIKE,
--- a/pinward/figures.py
+++ b/pinward/figures.py
@@ -53,7 +53,9 @@
 
     def add(self, now: float, *things: object) -> None:
         for thing in things:
-            self.windows.setdefault(thing, Window(self.keep_s)).add(now)
+            if thing not in self.windows:
+                self.windows[thing] = Window(self.keep_s)
+            self.windows[thing].add(now)
 
     def since(self, start: float, thing: object) -> int:
         return self.windows[thing].since(start) if thing in self.windows else 0
@@ -103,13 +105,16 @@
 
     def slowness(self, start: float) -> float:
         """Times against the usual over the settled part of the outcomes, with one usual outcome more."""
-        recent = [s for s in self.samples if s[0] > start]
-        slow = fmean([s[2] for s in recent] + [1.0])
-        return slow * (len(recent) + 1) / (sum(s[1] for s in recent) + 1)
+        total, good = 1.0, 1
+        for at, settled, slow in self.samples:
+            if at > start:
+                total += slow
+                good += settled
+        return total / good
 
     def silent(self, now: float) -> float:
         """For how long the node has owed an answer without a word to this front."""
-        return now - max(self.heard, min(s.sent for s in self.open)) if self.open else 0.0
+        return now - max(self.heard, self.open[0].sent) if self.open else 0.0  # the oldest stands first
 
 
 class Record:
@@ -120,7 +125,9 @@
 
     def add(self, sample: Sample) -> None:
         key = (sample.node.release, sample.product)
-        self.samples.setdefault(key, deque(maxlen=self.kept)).append(sample)
+        if key not in self.samples:
+            self.samples[key] = deque(maxlen=self.kept)
+        self.samples[key].append(sample)
 
     def of(self, number: int) -> list[Sample]:
         return [s for (n, _), kept in self.samples.items() if n == number for s in kept]
@@ -198,6 +205,11 @@
     return min(chances)
 
 
+def mean(values: deque[float], usual: float) -> float:
+    """Quick, for the hot paths; `usual` where there are none."""
+    return sum(values) / len(values) if values else usual
+
+
 def tail_chance(faults: int, total: int, share: float) -> float:
     """The chance of this many faults or more in `total` outcomes at a true share of `share`."""
     if faults == 0:
--- a/pinward/net/discovery.py
+++ b/pinward/net/discovery.py
@@ -56,7 +56,7 @@
         if self.link is None:
             self.link = connect(self.tasks, self.where, self.size, until)
         query = b"" if self.rev is None else b"?from=%d&hold_ms=%d" % (self.rev, hold_s * 1000)
-        self.link.send(http.request(b"GET", PATH + query, {b"Host": b"discovery"}), until)
+        self.link.send(http.request(b"GET", PATH + query, b"Host: discovery\r\n"), until)
         reader, message = http.Reader(answers=True, body_most=self.LIST_MOST), None
         while message is None:
             if self.tasks.now() >= until:
--- a/pinward/net/front.py
+++ b/pinward/net/front.py
@@ -24,7 +24,10 @@
 from pinward.terms import Count, Kind, Listing, Node, Release, Reply, Result, State, Submission, Txn, Verb
 
 READY, LIVE = b"/health/ready", b"/health/live"
-PASSED_ON = (b"host", b"request-id", b"idempotency-key", b"content-type")  # to nodes, unchanged
+PASSED_ON = {  # to nodes, unchanged
+    name.lower(): name + b": %s\r\n"
+    for name in (b"Host", b"Request-Id", b"Idempotency-Key", b"Content-Type")
+}
 Outcome = tuple[Result, http.Message | None]
 GONE = 0  # in place of a status: nobody is there to be answered
 LINGER_S = 0.5  # s without a new client after which a leaving front takes no more
@@ -50,9 +53,9 @@
         self.pool = Pool(
             self.tasks, branch.links_most, branch.ring_bytes, branch.connect_s, branch.node_idle_s / 2
         )
-        self.idle: dict[Link, Task] = {}  # clients between two txns, the longest idle first
+        self.idle: dict[Link, Task] = {}  # clients between two txns, the longest idle first; not the new
         self.clients, self.ready, self.leaving, self.shut = 0, False, False, False
-        self.accepted_at, self.stands = self.tasks.now(), None
+        self.accepted_at, self.stands, self.finished = self.tasks.now(), None, 0
 
     def run(self, leave: socket.socket | None = None) -> None:
         """Serves until something comes on `leave`, then finishes what was taken and returns."""
@@ -109,6 +112,8 @@
             self.tasks.wait(self.judge.wake_at)
             if self.tasks.now() >= self.judge.wake_at:
                 self.tell(self.judge.wake)
+                self.pool.sweep()
+                self.log.flush()
 
     # What discovery and the platform say.
 
@@ -210,7 +215,8 @@
     def read(self, link: Link, reader: http.Reader) -> http.Message | None:
         """What the client asks next; None where it ends the connection, or we do."""
         until, word_sent = float("inf"), False
-        self.idle[link] = self.tasks.current()
+        if link.known:
+            self.idle[link] = self.tasks.current()
         while True:
             ask = reader.step(link.inbox, link.ended)
             if ask is not None or link.ended:
@@ -231,12 +237,12 @@
         """Answers what a client asked; True where the connection stays."""
         path = ask.start[1].partition(b"?")[0]
         if path in (READY, LIVE):
-            status, body, more = 200 if path == LIVE or (self.ready and not self.leaving) else 503, b"", {}
+            status, body, more = 200 if path == LIVE or (self.ready and not self.leaving) else 503, b"", b""
         else:
             status, body, more = self.live(link, ask)
         if status == GONE:
             return False
-        stays = ask.stays and not self.leaving
+        stays, link.known = ask.stays and not self.leaving, True
         data = http.answer(status, body, stays, more)
         if stays:
             link.send(data, self.tasks.now() + self.patience_s)
@@ -273,7 +279,7 @@
         expiry = now + min(int(allowed) / 1000, product.expiry_s)
         return Txn(product, customer, expiry, taken=now, tag=Desk(self.tasks.current(), name))
 
-    def live(self, link: Link, ask: http.Message) -> tuple[int, bytes, dict[bytes, bytes]]:
+    def live(self, link: Link, ask: http.Message) -> tuple[int, bytes, bytes]:
         """The life of a txn: its final answer, or GONE where the client left before it."""
         txn = self.admit(ask)
         self.tell(self.judge.take, txn)  # the Judge chooses a node, or lets it wait, or gives it up
@@ -286,18 +292,23 @@
                 self.tell(self.judge.ended, things[0], result, took, over)  # it chooses again, unless over
                 if over:
                     settled = result is Result.SETTLED and txn.state is not State.LEFT
-                    final = (200, answer.body, kept_of(answer)) if settled else (GONE, b"", {})
+                    final = (200, answer.body, kept_of(answer)) if settled else (GONE, b"", b"")
                     break
             elif verb is Verb.DECLINE:
-                final = (503, b"", {b"Retry-After": b"%.3f" % things[1]} if things[1] else {})
+                final = (503, b"", b"Retry-After: %.3f\r\n" % things[1] if things[1] else b"")
                 break
             elif verb is Verb.VOID:
-                final = (502, b"", {})
+                final = (502, b"", b"")
                 break
             else:
                 self.tell(self.judge.left, txn)  # the client has gone: nothing is owed
-                final = (GONE, b"", {})
+                for sub in (order[1] for order in txn.tag.words if order[0] is Verb.SUBMIT):
+                    self.tell(self.judge.ended, sub, Result.NEVER_SENT, 0.0, True)  # ordered just then
+                final = (GONE, b"", b"")
                 break
+        self.finished += 1
+        if not __debug__:
+            return final
         subs = [f"{s.node.name} {s.result.name.lower()}" for s in txn.submissions if s.result]
         told = {"product": txn.tag.product, "state": txn.state.name.lower(), "subs": subs}
         self.log.say("txn", id=text(ask, b"request-id"), took=round(self.tasks.now() - txn.taken, 4), **told)
@@ -361,15 +372,15 @@
                 return graded(answer), answer
             if line.ended:
                 return Result.BROKEN, None
-            if any(verb is Verb.RECALL for verb, *_ in txn.tag.words):
+            if txn.tag.words:  # a recall, the only word while a submission is out
                 return Result.RECALLED, None
             if self.tasks.now() >= until:
                 return Result.SILENT, None
 
     def passed_on(self, ask: http.Message, until: float) -> bytes:
-        fields = {name.title(): ask.fields[name] for name in PASSED_ON if name in ask.fields}
-        fields[b"Request-Timeout-Ms"] = b"%d" % max(1, (until - self.tasks.now()) * 1000)
-        return http.request(ask.start[0], ask.start[1], fields, ask.body)
+        fields = [line % ask.fields[name] for name, line in PASSED_ON.items() if name in ask.fields]
+        fields.append(b"Request-Timeout-Ms: %d\r\n" % max(1, (until - self.tasks.now()) * 1000))
+        return http.request(ask.start[0], ask.start[1], b"".join(fields), ask.body)
 
     # The end.
 
@@ -403,8 +414,9 @@
     return Result.FAULT
 
 
-def kept_of(answer: http.Message) -> dict[bytes, bytes]:
-    return {b"Content-Type": answer.fields[b"content-type"]} if b"content-type" in answer.fields else {}
+def kept_of(answer: http.Message) -> bytes:
+    kind = answer.fields.get(b"content-type")
+    return b"" if kind is None else b"Content-Type: %s\r\n" % kind
 
 
 def text(ask: http.Message, name: bytes) -> str:
--- a/pinward/net/http.py
+++ b/pinward/net/http.py
@@ -11,9 +11,12 @@
 BODY_MOST = 64 * 1024  # bytes of a body, by the protocol
 CHUNK_LINE_MOST = 64  # bytes of a chunk's size line
 FIELDS_MOST = 64  # header fields of a message
-TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
-TARGET = re.compile(rb"[\x21-\x7e]+")
+TOKEN, TEXT = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+", rb"[\t\x20-\x7e\x80-\xff]*"
+ASKS = re.compile(rb"(" + TOKEN + rb") ([\x21-\x7e]+) (HTTP/1\.[01])\r\n")
+ANSWERS = re.compile(rb"(HTTP/1\.[01]) ([1-5][0-9][0-9])(?: (" + TEXT + rb"))?\r\n")
+FIELD = re.compile(rb"(" + TOKEN + rb"):[ \t]*(" + TEXT + rb"?)[ \t]*\r\n")
+FIELDS = re.compile(rb"(?:" + TOKEN + rb":" + TEXT + rb"\r\n)*")
+ONCE = (b"content-length", b"transfer-encoding", b"host")  # fields that may not stand twice
 DIGITS = re.compile(rb"[0-9]{1,9}")
 HEX = re.compile(rb"[0-9A-Fa-f]{1,8}")
 
@@ -52,8 +55,9 @@
     @property
     def stays(self) -> bool:
         """True where the connection stays open after this message."""
-        version = self.start[0] if self.start[0].startswith(b"HTTP/") else self.start[2]
-        return version == b"HTTP/1.1" and not self.has(b"connection", b"close")
+        if b"HTTP/1.0" in self.start:
+            return False
+        return b"connection" not in self.fields or not self.has(b"connection", b"close")
 
 
 class Reader:
@@ -95,41 +99,34 @@
                 return message
 
     def head(self, ring: Ring) -> bool:
-        while ring.peek(2) == b"\r\n" and not self.answers:  # a stray line before a request is passed over
+        while ring.used and ring.peek(2) == b"\r\n" and not self.answers:  # a stray line is passed over
             ring.skip(2)
         data = ring.peek(HEAD_MOST)
-        end = data.find(b"\r\n\r\n")
-        if end < 0:
+        end = data.find(b"\r\n\r\n") + 2
+        if end < 2:
             if len(data) >= HEAD_MOST:
                 raise MalformedError("its head is too long", 431)
             return False
-        first, *lines = data[:end].split(b"\r\n")
-        self.start = self.first(first)
-        if len(lines) > FIELDS_MOST:
+        first = (ANSWERS if self.answers else ASKS).match(data, 0, end)
+        if first is None or not FIELDS.fullmatch(data, first.end(), end):
+            raise MalformedError("its head cannot be read")
+        pairs = FIELD.findall(data, first.end(), end)
+        if len(pairs) > FIELDS_MOST:
             raise MalformedError("too many header fields", 431)
-        for line in lines:
-            name, colon, value = line.partition(b":")
-            name, value = name.lower(), value.strip(b" \t")
-            if not colon or not TOKEN.fullmatch(name) or not VALUE.fullmatch(value):
-                raise MalformedError("a header field cannot be read")
-            if name in self.fields and name in (b"content-length", b"transfer-encoding", b"host"):
-                raise MalformedError("a header field stands twice")
-            self.fields[name] = self.fields[name] + b", " + value if name in self.fields else value
-        ring.skip(end + 4)
+        self.start, self.fields = first.groups(), {name.lower(): value for name, value in pairs}
+        if len(self.fields) < len(pairs):
+            self.join(pairs)
+        ring.skip(end + 2)
         self.framing()
         return True
 
-    def first(self, line: bytes) -> tuple[bytes, bytes, bytes]:
-        parts = line.split(b" ", 2)
-        if self.answers:
-            parts += [b""] * (3 - len(parts))
-            good = parts[0] in (b"HTTP/1.1", b"HTTP/1.0") and re.fullmatch(rb"[1-5][0-9][0-9]", parts[1])
-        else:
-            good = len(parts) == 3 and parts[2] in (b"HTTP/1.1", b"HTTP/1.0")
-            good = good and TOKEN.fullmatch(parts[0]) and TARGET.fullmatch(parts[1])
-        if not good:
-            raise MalformedError("its first line cannot be read")
-        return parts[0], parts[1], parts[2]
+    def join(self, pairs: list[tuple[bytes, bytes]]) -> None:
+        """What stands more than once counts as one list."""
+        self.fields = {}
+        for name, value in ((name.lower(), value) for name, value in pairs):
+            if name in self.fields and name in ONCE:
+                raise MalformedError("a header field stands twice")
+            self.fields[name] = self.fields[name] + b", " + value if name in self.fields else value
 
     def framing(self) -> None:
         length, coding = self.fields.get(b"content-length"), self.fields.get(b"transfer-encoding")
@@ -151,6 +148,8 @@
 
     def fill(self, ring: Ring, ended: bool) -> bool:
         """Takes what has come of the body; True once it is whole."""
+        if self.left == 0 and not self.chunked:
+            return True
         while True:
             part = ring.take(ring.used if self.left is None else min(self.left, ring.used))
             if self.left is None:
@@ -194,16 +193,16 @@
         return data[:end]
 
 
-def request(method: bytes, target: bytes, fields: dict[bytes, bytes], body: bytes = b"") -> bytes:
+def request(method: bytes, target: bytes, fields: bytes, body: bytes = b"") -> bytes:
+    """`fields` are whole lines; the length is added where there is a body or one is due."""
     if body or method not in (b"GET", b"HEAD"):
-        fields = {**fields, b"Content-Length": b"%d" % len(body)}
-    head = b"".join(b"%s: %s\r\n" % field for field in fields.items())
-    return b"%s %s HTTP/1.1\r\n%s\r\n%s" % (method, target, head, body)
+        fields += b"Content-Length: %d\r\n" % len(body)
+    return b"%s %s HTTP/1.1\r\n%s\r\n%s" % (method, target, fields, body)
 
 
-def answer(status: int, body: bytes, stays: bool, fields: dict[bytes, bytes] | None = None) -> bytes:
-    fields = {**(fields or {}), b"Content-Length": b"%d" % len(body)}
-    if not stays:
-        fields[b"Connection"] = b"close"
-    head = b"".join(b"%s: %s\r\n" % field for field in fields.items())
-    return b"HTTP/1.1 %d %s\r\n%s\r\n%s" % (status, REASONS[status], head, body)
+def answer(status: int, body: bytes, stays: bool, fields: bytes = b"") -> bytes:
+    """`fields` are whole lines."""
+    last = b"\r\n" if stays else b"Connection: close\r\n\r\n"
+    return b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s%s%s" % (
+        status, REASONS[status], len(body), fields, last, body,
+    )  # fmt: skip
--- a/pinward/net/log.py
+++ b/pinward/net/log.py
@@ -39,7 +39,6 @@
             return
         line = {"at": round(time.time(), 6), "front": self.name, "event": event, **facts}
         self.lines.append(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
-        self.flush()
 
     def flush(self, wait_ms: int = 0) -> None:
         """Writes lines as long as the reader takes them."""
--- a/pinward/net/pool.py
+++ b/pinward/net/pool.py
@@ -29,7 +29,6 @@
 
     def take(self, node: Node, until: float) -> Link | None:
         """An idle connection or a new one; None where all that may stand are in use. Raises OSErrors."""
-        self.sweep()
         idle = self.idle.get(node, ())
         while idle:
             link = idle.pop()
--- a/pinward/net/ring.py
+++ b/pinward/net/ring.py
@@ -31,7 +31,10 @@
         return [first, self.block[:rest]] if rest else [first]
 
     def peek(self, length: int) -> bytes:
-        return b"".join(self.spans(self.start, min(length, self.used)))
+        length = min(length, self.used)
+        if self.start + length <= self.size:
+            return bytes(self.block[self.start : self.start + length])
+        return b"".join(self.spans(self.start, length))
 
     def take(self, length: int) -> bytes:
         data = self.peek(length)
@@ -45,7 +48,12 @@
 
     def put(self, data: bytes | memoryview) -> int:
         """Takes in as much of `data` as there is room for; returns how much that was."""
-        length, done = min(len(data), self.room), 0
+        length, done = len(data), 0
+        if not self.used and length <= self.size:  # the usual case
+            self.block[:length] = data
+            self.used = length
+            return length
+        length = min(length, self.room)
         for span in self.spans(self.start + self.used, length):
             span[:] = data[done : done + len(span)]
             done += len(span)
@@ -54,14 +62,19 @@
 
     def fill(self, sock: socket.socket) -> int:
         """Reads once from a socket; 0 at its end."""
-        hold(self.room > 0, "a ring is read into only with room left")
+        hold(self.used < self.size, "a ring is read into only with room left")
+        if not self.used:  # the usual case
+            self.used = sock.recv_into(self.block)
+            return self.used
         got = sock.recvmsg_into(self.spans(self.start + self.used, self.room))[0]
         self.used += got
         return got
 
     def drain(self, sock: socket.socket) -> None:
         """Writes once to a socket."""
-        if self.used:
+        if self.start + self.used <= self.size:
+            self.skip(sock.send(self.block[self.start : self.start + self.used]))
+        else:
             self.skip(sock.sendmsg(self.spans(self.start, self.used)))
 
 
@@ -71,7 +84,7 @@
     def __init__(self, tasks: Scheduler, sock: socket.socket, size: int) -> None:
         self.tasks, self.sock = tasks, sock
         self.inbox, self.outbox = Ring(size), Ring(size)
-        self.ended = self.closed = False
+        self.ended = self.closed = self.known = False
         self.idle_since = tasks.now()
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -85,8 +98,8 @@
         return self.sock.fileno(), HANGUP
 
     def fill(self) -> None:
-        """Reads what has come, where the inbox has room; `ended` once the peer will send nothing more."""
-        while self.inbox.room and not self.ended:
+        """Reads once, where the inbox has room; `ended` once the peer will send nothing more."""
+        if self.inbox.used < self.inbox.size and not self.ended:
             try:
                 self.ended = self.inbox.fill(self.sock) == 0
             except BlockingIOError:
@@ -107,16 +120,18 @@
     def flush(self) -> bool:
         """Writes what the socket takes of the outbox; False where it takes nothing now."""
         try:
-            self.outbox.drain(self.sock)
+            if self.outbox.used:
+                self.outbox.drain(self.sock)
         except BlockingIOError:
             return False
         return True
 
     def send(self, data: bytes, until: float = inf) -> None:
         """Writes all of `data`; raises TimeoutError when the time is up, and other OSErrors as they come."""
-        rest = memoryview(data)
+        rest: bytes | memoryview = data
         while rest or self.outbox.used:
-            rest = rest[self.outbox.put(rest) :]
+            taken = self.outbox.put(rest)
+            rest = memoryview(rest)[taken:] if taken < len(rest) else b""
             if not self.flush():
                 if self.tasks.now() >= until:
                     raise TimeoutError("the peer takes nothing")
--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -15,7 +15,7 @@
 from statistics import fmean
 
 from pinward.figures import Record, Sample, Seat, Spell, Tally, Window
-from pinward.figures import faulty_chance, paced, relative, surely, tail_chance, trimmed
+from pinward.figures import faulty_chance, mean, paced, relative, surely, tail_chance, trimmed
 from pinward.terms import Count, Group, Kind, Listing, Node, Phase, Product, Release, Reply, Result, State
 from pinward.terms import Submission, Terms, Txn, Verb, Verdict
 
@@ -292,7 +292,7 @@
 
     def barred(self, now: float, txn: Txn) -> bool:
         """True where no further submission of a txn is allowed: by number, by time, or as it may have run."""
-        ran, kind = txn.ran, txn.product.kind
+        ran, kind = txn.submissions and txn.ran, txn.product.kind
         late = ran and kind is Kind.REFERENCED and now > ran.sent + txn.product.memory_s - EDGE_S
         late = late or (ran and kind is Kind.ONCE_ONLY) or now >= txn.expiry - EDGE_S
         return bool(late) or len(txn.submissions) >= self.max_submissions
@@ -319,7 +319,7 @@
     def pick(self, now: float, txn: Txn, arm: list[Seat], floor: int) -> Seat | None:
         """Two random choices among an arm's nodes that may take one more, the lighter of the two."""
         met, used, found = [s.node for s in txn.submissions], self.used[arm is self.older], []
-        for seat in self.chance.choices(used, k=DRAWS) if used else ():
+        for seat in [used[int(self.chance.random() * len(used))] for _ in range(DRAWS)] if used else ():
             if seat not in found and seat.node not in met and self.open_to(now, txn, seat, floor):
                 found.append(seat)
                 if len(found) == 2:
@@ -342,7 +342,7 @@
         """True where answers are slow and this front has its part of what the fleet can settle in time."""
         # Guards against long queues where each of many fronts may have one open at every node. What is long
         # overdue, as at a silent node, does not count. Harm: a front that meets slow nodes holds back.
-        if len(self.spent) < SPENT_OF or fmean(self.spent) < AIM_LATENCY:
+        if len(self.spent) < SPENT_OF or mean(self.spent, 0.0) < AIM_LATENCY:
             return False
         fresh = sum(now - s.sent < s.txn.product.sla_s for s in self.open)
         return fresh >= max(1.0, self.open_s * self.settles.since(now - RATE_S) / RATE_S)
@@ -392,7 +392,7 @@
         self.orders.append((Verb.SUBMIT, sub))
 
     def usual(self, product: Product) -> float:
-        return fmean(self.lately[product] or [0.2 * product.sla_s])
+        return mean(self.lately[product], 0.2 * product.sla_s)
 
     def take_back(self, now: float) -> None:
         """Take back what waits at nodes that went silent, where the txn may go elsewhere in time."""
--- a/pinward/terms.py
+++ b/pinward/terms.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import Enum, auto
+from enum import Enum, IntEnum, auto
 from typing import Any
 
 
@@ -27,7 +27,7 @@
     CELL = auto()
 
 
-class State(Enum):
+class State(IntEnum):
     """Where a txn stands; the last three are final answers, LEFT means that nothing is owed."""
 
     TAKEN = auto()
@@ -166,8 +166,8 @@
 
     def dropped_by(self, node: Node) -> bool:
         """True where a node drops repeats of what the earlier submissions may have done, if it matters."""
-        ran, group = self.ran, self.product.group
-        if ran is None or self.product.kind is Kind.INQUIRY_LIKE or group is Group.ALL:
+        ran, group = self.submissions and self.ran, self.product.group
+        if not ran or self.product.kind is Kind.INQUIRY_LIKE or group is Group.ALL:
             return True
         return ran.node.zone == node.zone if group is Group.ZONE else ran.node.cell == node.cell
 
