--- /dev/null
+++ b/example/toy.py
@@ -0,0 +1,94 @@
+"""A toy fleet for a front to stand before: two nodes, their list, and a platform, all on loopback addresses.
+
+Run it beside `python -m pinward` with ROUTER_CONFIG=example/config.json, then ask for something:
+
+    curl -i -H 'Request-Id: 1' -H 'Request-Class: quote' -H 'Request-Timeout-Ms: 2000' http://127.0.0.1:9000/api
+
+`GET /api?do=fault` has the node answer 500, `do=full` turn the txn away, `do=silent` say nothing for 3 s,
+`do=nonsense` write no HTTP, `do=break` break the connection after reading.
+"""
+
+from __future__ import annotations
+
+import json
+import socketserver
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+NODES = {"s-one": ("127.0.0.1", 9101), "s-two": ("127.0.0.1", 9102)}
+DISCOVERY, PLATFORM = ("127.0.0.1", 9100), ("127.0.0.1", 9103)
+
+
+class Quiet(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *_: object) -> None:
+        pass
+
+    def answer(self, status: int, body: bytes, **fields: str) -> None:
+        self.send_response(status)
+        for name, value in fields.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class Node(Quiet):
+    def do_GET(self) -> None:  # noqa: N802
+        body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        what = self.path.partition("do=")[2]
+        if what == "fault":
+            self.answer(500, b"")
+        elif what == "full":
+            self.answer(503, b"", Not_Started="1")
+        elif what == "nonsense":
+            self.wfile.write(b"hello\r\n\r\n")
+            self.close_connection = True
+        elif what == "break":
+            self.close_connection = True
+        else:
+            time.sleep(3.0 if what == "silent" else 0.0)
+            said = b"%s %s" % (self.headers["Request-Id"].encode(), body)
+            self.answer(200, said, Content_Type="text/plain")
+
+    do_POST = do_GET  # noqa: N815
+
+
+class Registry(Quiet):
+    def do_GET(self) -> None:  # noqa: N802
+        if "hold_ms" in self.path:
+            time.sleep(float(self.path.partition("hold_ms=")[2]) / 1000)
+        targets = [
+            {"uid": name, "endpoint": f"{host}:{port}", "az": "a", "pod_group": 0, "state": "up",
+             "capacity_hint": 1.0, "boot_ms": 0, "release": 41}
+            for name, (host, port) in NODES.items()
+        ]  # fmt: skip
+        self.answer(200, json.dumps({"rev": 1, "all": True, "targets": targets}).encode())
+
+
+class Desk(socketserver.StreamRequestHandler):
+    def handle(self) -> None:
+        for line in self.rfile:
+            watch = line.split() == [b"WATCH"]
+            self.wfile.write(b"OK\r\n* ROLLOUT 41 2 released 1 99000\r\n" if watch else b"ERR STALE\r\n")
+
+
+def start() -> list[socketserver.TCPServer]:
+    """Starts the whole fleet in threads of its own."""
+    socketserver.ThreadingTCPServer.allow_reuse_address = True
+    socketserver.ThreadingTCPServer.daemon_threads = True
+    servers: list[socketserver.TCPServer] = [ThreadingHTTPServer(where, Node) for where in NODES.values()]
+    servers.append(ThreadingHTTPServer(DISCOVERY, Registry))
+    servers.append(socketserver.ThreadingTCPServer(PLATFORM, Desk))
+    for server in servers:
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+    return servers
+
+
+if __name__ == "__main__":
+    start()
+    print("two nodes, their list and a platform are up; end with Ctrl-C")
+    threading.Event().wait()
--- a/pinward/net/discovery.py
+++ b/pinward/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 from typing import Any
 
 import orjson
@@ -11,6 +12,7 @@
 from pinward.net.ring import Link, connect
 from pinward.net.scheduler import Scheduler
 
+LIST_MOST = 4 * 1024 * 1024  # bytes of a list: some ten thousand nodes
 PATH = b"/registry/instances"
 
 Body = dict[str, Any]
@@ -38,7 +40,7 @@
     def run(self) -> None:
         while True:
             while not self.asked:
-                self.tasks.wait()
+                self.tasks.wait(inf)
             try:
                 while True:
                     self.heard(self.call())
@@ -57,7 +59,9 @@
             self.link = connect(self.tasks, self.where, self.size, until)
         query = b"" if self.rev is None else b"?from=%d&hold_ms=%d" % (self.rev, hold_s * 1000)
         self.link.send(http.request(b"GET", PATH + query, b"Host: discovery\r\n"), until)
-        reader, message = http.Reader(answers=True, body_most=self.LIST_MOST), None
+        reader = http.Reader(answers=True)
+        reader.body_most = LIST_MOST
+        message: http.Message | None = None
         while message is None:
             if self.tasks.now() >= until:
                 raise TimeoutError("discovery says nothing")
@@ -74,5 +78,3 @@
         news = orjson.loads(message.body)
         self.rev = int(news["rev"])
         return news
-
-    LIST_MOST = 4 * 1024 * 1024  # bytes of a list: some ten thousand nodes
--- a/pinward/net/front.py
+++ b/pinward/net/front.py
@@ -55,7 +55,8 @@
         )
         self.idle: dict[Link, Task] = {}  # clients between two txns, the longest idle first; not the new
         self.clients, self.ready, self.leaving, self.shut = 0, False, False, False
-        self.accepted_at, self.stands, self.finished = self.tasks.now(), None, 0
+        self.accepted_at, self.finished = self.tasks.now(), 0
+        self.stands: tuple[int, int, str, float] | None = None  # of the release, as last told
 
     def run(self, leave: socket.socket | None = None) -> None:
         """Serves until something comes on `leave`, then finishes what was taken and returns."""
@@ -63,7 +64,8 @@
         self.listener = listen(branch.listen)
         self.listed(branch.known, old=True)
         if branch.news:
-            self.news(release([branch.news[k] for k in ("build", "stage", "phase", "cap", "age_ms")]), None)
+            told = [str(branch.news[key]) for key in ("build", "stage", "phase", "cap", "age_ms")]
+            self.news(release(told), None)
         self.discovery = Discovery(
             self.tasks, branch.discovery, branch.ring_bytes, terms.ask_within_s / 2, terms.ask_within_s / 4,
             self.listed, self.list_lost,
@@ -291,8 +293,9 @@
                 took = self.tasks.now() - things[0].sent
                 self.tell(self.judge.ended, things[0], result, took, over)  # it chooses again, unless over
                 if over:
-                    settled = result is Result.SETTLED and txn.state is not State.LEFT
-                    final = (200, answer.body, kept_of(answer)) if settled else (GONE, b"", b"")
+                    final = (GONE, b"", b"")
+                    if answer is not None and result is Result.SETTLED and txn.state is not State.LEFT:
+                        final = (200, answer.body, kept_of(answer))
                     break
             elif verb is Verb.DECLINE:
                 final = (503, b"", b"Retry-After: %.3f\r\n" % things[1] if things[1] else b"")
--- a/pinward/net/http.py
+++ b/pinward/net/http.py
@@ -25,6 +25,8 @@
     404: b"Not Found", 502: b"Bad Gateway", 503: b"Service Unavailable",
 }  # fmt: skip
 
+NOT_BEGUN = (b"", b"", b"")
+
 
 class MalformedError(Exception):
     """What a peer sent is not HTTP; `status` is what a client is told."""
@@ -63,12 +65,12 @@
 class Reader:
     """Reads one message after another from a ring; `step` returns None while the message is not whole."""
 
-    def __init__(self, answers: bool = False, body_most: int = BODY_MOST) -> None:
-        self.answers, self.body_most = answers, body_most
+    def __init__(self, answers: bool = False) -> None:
+        self.answers, self.body_most = answers, BODY_MOST
         self.reset()
 
     def reset(self) -> None:
-        self.start: tuple[bytes, bytes, bytes] | None = None
+        self.start: tuple[bytes, bytes, bytes] = NOT_BEGUN
         self.fields: dict[bytes, bytes] = {}
         self.body = bytearray()
         self.left: int | None = 0  # bytes still to come of the body or chunk; None: up to the end
@@ -76,7 +78,7 @@
 
     @property
     def begun(self) -> bool:
-        return self.start is not None
+        return bool(self.start[0])
 
     @property
     def wants_word(self) -> bool:
@@ -85,7 +87,7 @@
 
     def step(self, ring: Ring, ended: bool) -> Message | None:
         while True:
-            if self.start is None and not self.head(ring):
+            if not self.begun and not self.head(ring):
                 if ended and ring.used:
                     raise CutShortError("ends inside a head")
                 return None
@@ -113,7 +115,8 @@
         pairs = FIELD.findall(data, first.end(), end)
         if len(pairs) > FIELDS_MOST:
             raise MalformedError("too many header fields", 431)
-        self.start, self.fields = first.groups(), {name.lower(): value for name, value in pairs}
+        self.start = (first.group(1), first.group(2), first.group(3) or b"")
+        self.fields = {name.lower(): value for name, value in pairs}
         if len(self.fields) < len(pairs):
             self.join(pairs)
         ring.skip(end + 2)
--- a/pinward/net/ring.py
+++ b/pinward/net/ring.py
@@ -4,7 +4,6 @@
 
 import errno
 import socket
-from math import inf
 
 from pinward.net.log import hold
 from pinward.net.scheduler import HANGUP, READ, WRITE, Scheduler
@@ -126,7 +125,7 @@
             return False
         return True
 
-    def send(self, data: bytes, until: float = inf) -> None:
+    def send(self, data: bytes, until: float) -> None:
         """Writes all of `data`; raises TimeoutError when the time is up, and other OSErrors as they come."""
         rest: bytes | memoryview = data
         while rest or self.outbox.used:
--- a/pinward/net/scheduler.py
+++ b/pinward/net/scheduler.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from heapq import heapify, heappop, heappush
 from math import inf
+from typing import cast
 
 from greenlet import getcurrent, greenlet
 
@@ -17,12 +18,18 @@
 POLL_MOST_MS = 60_000  # poll takes whole milliseconds of 31 bits; it is called again after this
 
 
-class Task(greenlet):
+def raised(fault: Exception) -> None:
+    """What to do about an exception that leaves a task."""
+    raise fault
+
+
+class Task:
     """One flow of work. `turn` numbers its waits, so that a word meant for an earlier one does nothing."""
 
-    turn = 0
-    waits = False
-    fired: dict[int, int]
+    def __init__(self, work: Callable[[], None], hub: greenlet) -> None:
+        self.flow = greenlet(work, hub)
+        self.turn, self.waits = 1, False
+        self.fired: dict[int, int] = {}
 
 
 class Scheduler:
@@ -36,6 +43,8 @@
         self.offset = time.time() - time.monotonic()
         self.ended = False
         self.hub = getcurrent()
+        self.running: Task | None = None
+        self.failed: Callable[[Exception], None] = raised  # a host may put its own in place
 
     def now(self) -> float:
         """Unix seconds that never jump: nodes tell their starts in Unix time."""
@@ -52,21 +61,16 @@
 
         task = Task(whole, self.hub)
         self.live += 1
-        task.turn, task.fired = 1, {}
         self.ready.append((task, 1))
         return task
 
-    def failed(self, fault: Exception) -> None:
-        """What to do about an exception that leaves a task; a host may put its own in place."""
-        raise fault
-
     def current(self) -> Task:
-        return getcurrent()
+        hold(self.running, "only tasks wait")
+        return cast(Task, self.running)
 
-    def wait(self, until: float = inf, *watched: tuple[int, int]) -> dict[int, int]:
+    def wait(self, until: float, *watched: tuple[int, int]) -> dict[int, int]:
         """Waits for one of (descriptor, events), for `wake` or for a time; returns the events that came."""
-        task = getcurrent()
-        hold(task is not self.hub, "only tasks wait")
+        task = self.current()
         for fd, events in watched:
             hold(fd not in self.watchers, "one task waits for a descriptor")
             self.watchers[fd] = task
@@ -114,11 +118,13 @@
             self.wake(task)
         for _ in range(len(self.ready)):  # what they make ready waits for the next turn
             task, turn = self.ready.popleft()
-            if task.turn == turn and not task.dead:
-                task.switch()
+            if task.turn == turn and not task.flow.dead:
+                self.running = task
+                task.flow.switch()
+                self.running = None
 
     def over(self, timer: tuple[float, int, Task, int]) -> bool:
-        return timer[2].turn != timer[3] or timer[2].dead
+        return timer[2].turn != timer[3] or timer[2].flow.dead
 
     def stop(self) -> None:
         self.ended = True
--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -73,8 +73,9 @@
 class Judge:
     def __init__(self, terms: Terms, seed: int, now: float) -> None:
         self.chance, self.started, self.zone, self.fronts = Random(seed), now, terms.zone, terms.fronts
-        self.must_ask, self.ask_most_s = terms.must_ask, terms.ask_within_s / 4
-        self.asked, self.ask_at, self.watching = 0, -inf, False
+        self.must_ask, self.ask_most_s, self.watching = terms.must_ask, terms.ask_within_s / 4, False
+        self.asked, self.ask_at, self.wake_at = 0, -inf, now
+        self.error: float | None = None  # the loop's last
         self.cold, self.cold_load = (terms.cold_from, terms.cold_s), COLD_PART * terms.fall_multiple
         self.max_submissions, self.may_recall = terms.max_submissions, terms.may_recall
         self.over_worth, self.defer_s = terms.over_share_worth, terms.max_defer_s * terms.may_defer
@@ -93,7 +94,7 @@
         self.open_s = OPEN_S * fmean(p.sla_s for p in terms.products)
         self.seats: dict[Node, Seat] = {}
         self.trial, self.older, self.fresh = [], [], []  # ready seats: on trial, others; of both, the cold
-        self.used, self.used_most, self.change_at = ([], []), USED_LEAST, now  # of these, the warm in use
+        self.used, self.used_most, self.change_at = [[], []], USED_LEAST, now  # of these, the warm in use
         self.held: list[tuple[float, float, float, Txn]] = []  # dearest, then newest first
         self.takes, self.sends = Tally(self.cap_s + RATE_S), Tally(self.cap_s + RATE_S)
         self.evidence, self.counts, self.wrongs = Record(KEPT), deque(maxlen=LATELY), deque(maxlen=LATELY)
@@ -101,13 +102,13 @@
         self.before, self.key_floor = {}, {}  # times just before the trial; by key, what release answered it
         self.settles, self.open, self.spent = Window(RATE_S), [], deque(maxlen=SPENT_OF)  # of SLA times
         self.release: Release | None = None
-        self.stage_at = self.vote_next = self.wake_at = now
-        self.share, self.integral, self.error, self.bound = 0.0, 0.0, None, False
-        self.rate, self.scout, self.boost, self.most_units = 0.0, 1.0, 1.0, 0.01
+        self.stage_at, self.vote_next, self.most_units = now, now, 0.01
+        self.share, self.integral, self.rate, self.bound = 0.0, 0.0, 0.0, False
         # What the trial and the cold nodes are owed, in txns; what part of those taken the cold ones are due.
         self.credit, self.cold_credit, self.cold_part = self.chance.random(), self.chance.random(), 0.0
         self.pressed, self.strikes, self.spell = False, 0, Spell(PERIOD_S, SETTLED_S, LASTING_S)
-        self.vote, self.vote_at, self.crossed, self.carried = None, -inf, False, 0.0
+        self.vote_at, self.crossed, self.carried, self.scout, self.boost = -inf, False, 0.0, 1.0, 1.0
+        self.vote: tuple[int, int, Verdict] | None = None  # the last cast
         self.orders: list[tuple] = []
 
     def fleet(self, now: float, lines: list[Listing], whole: bool, old: bool) -> None:
@@ -217,7 +218,7 @@
         # Acts where traffic is too little to know all nodes by; each has an even chance at any time. Guards
         # against slow, silent and squeezed nodes. Harm: none seen at large fronts, which use all.
         warm = ([s for s in arm if s.warm_at <= now] for arm in (self.trial, self.older))
-        self.used = tuple(sorted(arm, key=lambda s: s.draw)[: self.used_most] for arm in warm)
+        self.used = [sorted(arm, key=lambda s: s.draw)[: self.used_most] for arm in warm]
 
     def change(self, now: float) -> None:
         self.change_at = now + CHANGE_S * self.chance.uniform(0.7, 1.3)
@@ -324,11 +325,10 @@
                 found.append(seat)
                 if len(found) == 2:
                     return min(found, key=lambda s: self.weight(now, s, txn))
-        if found:
-            return found[0]
-        start = self.chance.randrange(len(arm))  # few are open: the first that is, from a place by chance
-        around = (arm[i - len(arm)] for i in range(start, start + len(arm)))
-        return next((s for s in around if s.warm_at <= now and self.open_to(now, txn, s, floor)), None)
+        start = self.chance.randrange(len(arm)) if not found else 0  # few are open: the first, from anywhere
+        around = arm[start:] + arm[:start]
+        fits = (s for s in around if s.warm_at <= now and self.open_to(now, txn, s, floor))
+        return found[0] if found else next(fits, None)
 
     def open_to(self, now: float, txn: Txn, seat: Seat, floor: int) -> bool:
         """True where this txn may go there now: one after being set aside, else what settles in time."""
@@ -355,8 +355,8 @@
 
     def warm(self, now: float) -> None:
         """What part of the txns cold nodes are due: their part of all capacity, within a safe load."""
-        # Guards cold machines: credits grow with each txn taken from a start by chance, so that any number of
-        # fronts add up to a safe sum; settled over taken keeps bursts out. Harm: quick nodes warm late.
+        # Guards cold machines: credits grow with each txn taken, from a start by chance, so that fronts add
+        # up to a safe sum; settled over taken keeps bursts out. Harm: quick nodes warm late.
         if any(s.warm_at <= now for s in self.fresh):
             self.fresh = [s for s in self.fresh if s.warm_at > now]
             self.choose(now)
@@ -497,15 +497,15 @@
 
     def worse(self, now: float, number: int) -> bool:
         """True where the new build's faults or times are beyond what the earlier build's explain."""
-        # Guards against holding machine trouble against a build: faults count only where some are left
-        # without sick nodes, a third at most. Harm: a build that fails most on few nodes is judged later.
+        # Guards against holding machine trouble against a build: faults count only without sick nodes, a
+        # third at most. Harm: a build that fails most on few nodes is judged later.
         new, old = self.evidence.of(number), self.evidence.before(number)
         spread = sum(s.fault for s in trimmed(new, TRIM_PART, SICK)) >= SPREAD_LEAST or self.faults_least == 1
         if spread and faulty_chance(new, old, self.faults_least, FAULT_FLOOR) < self.doubt:
             return True
         # The same seconds on both sides: a shared trouble is in both. What slows all slows its own too.
-        recent = ([s for s in arm if s.at > now - RECENT_S] for arm in (new, old))
-        paces = relative(*recent, SLOW_LEAST) if self.older else []  # without earlier nodes, load is unlike
+        mine, theirs = ([s for s in arm if s.at > now - RECENT_S] for arm in (new, old))
+        paces = relative(mine, theirs, SLOW_LEAST) if self.older else []  # else load is unlike
         if len(paces) >= self.slow_least and surely(paces) > SLOWER:
             return True
         if self.bound and len(paces) >= self.slow_least and fmean(paces) <= ALIKE:
--- a/pinward/wirehost/__main__.py
+++ b/pinward/wirehost/__main__.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import sys
-from typing import TextIO
+from typing import BinaryIO
 
 from pinward.wirehost.codec import MalformedError, Reader
 
 
-def run(source: TextIO, sink: TextIO) -> None:
+def run(source: BinaryIO, sink: BinaryIO) -> None:
     reader = Reader()
     for text in source:
         reply = reader.line(text)
@@ -19,7 +19,7 @@
 
 def main() -> int:
     try:
-        run(sys.stdin, sys.stdout)
+        run(sys.stdin.buffer, sys.stdout.buffer)
     except MalformedError as fault:
         print(f"pinward: {fault}", file=sys.stderr)
         return 2
--- a/pinward/wirehost/codec.py
+++ b/pinward/wirehost/codec.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-import json
+from collections.abc import Callable
 from typing import Any
 
+import orjson
+
 from pinward.config import FaultyKeyError, Sheet, decode_terms
 from pinward.rules import Judge
 from pinward.terms import Count, Listing, Node, Phase, Release, Reply, Result, Submission, Txn, Verb, Verdict
@@ -52,7 +54,7 @@
 
     def call(self, name: str, body: Body, now: float) -> list[Body]:
         """One event: the call that it stands for, and the actions for what came back."""
-        self.CALLS[name](self, now, body)
+        CALLS[name](self, now, body)
         return self.carry_out()
 
     def discovery(self, now: float, body: Body, sheets: dict[int, list[Body]]) -> list[Body]:
@@ -188,16 +190,17 @@
         wait = max(0.0, wanted - now)
         return {"sleep": {"who": self.who, "inS": round(wait, 6), "token": self.token}}
 
-    CALLS = {
-        "demand": demand,
-        "completed": completed,
-        "opened": opened,
-        "gone": gone,
-        "reminder": reminder,
-        "stage": stage,
-        "digest": digest,
-        "badAnswer": bad_answer,
-    }
+
+CALLS: dict[str, Callable[..., None]] = {
+    "demand": Door.demand,
+    "completed": Door.completed,
+    "opened": Door.opened,
+    "gone": Door.gone,
+    "reminder": Door.reminder,
+    "stage": Door.stage,
+    "digest": Door.digest,
+    "badAnswer": Door.bad_answer,
+}
 
 
 class Host:
@@ -225,7 +228,7 @@
             return []
         if name in UNUSED:
             return []
-        if name != "discovery" and name not in Door.CALLS:
+        if name != "discovery" and name not in CALLS:
             raise MalformedError(f"unknown event {name!r}")
         if door is None:
             return []
@@ -271,9 +274,13 @@
     return f"{type(fault).__name__}: {fault}"
 
 
-def parse(line: str) -> tuple[str, Body]:
+def encoded(reply: Body) -> bytes:
+    return orjson.dumps(reply, option=orjson.OPT_APPEND_NEWLINE)
+
+
+def parse(line: str | bytes) -> tuple[str, Body]:
     try:
-        message = json.loads(line)
+        message = orjson.loads(line)
     except ValueError as fault:
         raise MalformedError(f"not JSON: {fault}") from fault
     if not isinstance(message, dict) or len(message) != 1:
@@ -292,7 +299,7 @@
         self.events: list[tuple[str, Body]] | None = None
         self.number = 0
 
-    def line(self, text: str) -> str | None:
+    def line(self, text: str | bytes) -> bytes | None:
         """The reply that this line completes, if it completes one."""
         self.number += 1
         if not text.strip():
@@ -302,7 +309,7 @@
         except MalformedError as fault:
             raise MalformedError(f"line {self.number}: {fault}") from fault
 
-    def message(self, name: str, body: Body) -> str | None:
+    def message(self, name: str, body: Body) -> bytes | None:
         if name == "beginBatch":
             if self.events is not None:
                 raise MalformedError("beginBatch inside a batch")
@@ -313,7 +320,7 @@
             raise MalformedError(f"{name} outside a batch")
         elif name == "flush":
             events, self.events = self.events, None
-            return "".join(json.dumps(reply) + "\n" for reply in [*self.host.batch(events), {"next": {}}])
+            return b"".join(map(encoded, [*self.host.batch(events), {"next": {}}]))
         else:
             self.events.append((name, body))
         return None
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -14,7 +14,7 @@
         reader, lines = Reader(), []
         for text in (TRACES / "wire-in.txt").read_text().splitlines():
             reply = reader.line(text)
-            lines += [] if reply is None else reply.splitlines()
+            lines += [] if reply is None else reply.decode().splitlines()
         compare(self, "wire-out", lines)
 
     def test_malformed(self) -> None:
