--- a/pinward/config.py
+++ b/pinward/config.py
@@ -202,7 +202,9 @@
     zones: list[str]
     connect_s: float
     node_idle_s: float
-    links_most: int  # to clients; as many again to nodes
+    links_most: int  # to clients, three in four of all
+    lines_most: int  # to nodes, the rest
+    txns_most: int  # at a time; what comes beyond is declined unread, or it would all wait too long
     ring_bytes: int = RING_BYTES
 
 
@@ -224,7 +226,8 @@
     terms.must_ask = True  # on sockets the list always has to be asked for
     node, platform = facts.within("limits"), told.within("platform")
     memory_mb = limits.number("memory_mb", USUAL_MEMORY_MB, least=OWN_MEMORY_MB + 1)
-    sockets = limits.count("sockets", USUAL_SOCKETS, least=OWN_SOCKETS + 2)
+    sockets = limits.count("sockets", USUAL_SOCKETS, least=OWN_SOCKETS + 12)
+    links = int(min(sockets - OWN_SOCKETS, (memory_mb - OWN_MEMORY_MB) * 2**20 / LINK_BYTES))
     return Branch(
         name=told.text("name", env.get("ROUTER_NAME", NEEDED)),
         listen=told.address("listen", env.get("ROUTER_LISTEN", NEEDED)),
@@ -239,7 +242,9 @@
         zones=facts.plain("zones", []),
         connect_s=node.number("connectTimeoutS"),
         node_idle_s=node.number("connIdleS"),
-        links_most=int(min((sockets - OWN_SOCKETS) // 2, (memory_mb - OWN_MEMORY_MB) * 2**19 / LINK_BYTES)),
+        links_most=3 * links // 4,
+        lines_most=links // 4,
+        txns_most=links // 4,
     )
 
 
--- a/pinward/net/front.py
+++ b/pinward/net/front.py
@@ -30,6 +30,8 @@
 }
 Outcome = tuple[Result, http.Message | None]
 GONE = 0  # in place of a status: nobody is there to be answered
+ACCEPTS = 32  # new connections in a row, before others have their turn
+UNASKED_S = 0.1  # s in which a new client has to ask before it may be sent away for want of room
 LINGER_S = 0.5  # s without a new client after which a leaving front takes no more
 
 
@@ -51,11 +53,12 @@
         self.patience_s = max(p.expiry_s for p in branch.terms.products)
         self.nodes: dict[str, Node] = {}
         self.pool = Pool(
-            self.tasks, branch.links_most, branch.ring_bytes, branch.connect_s, branch.node_idle_s / 2
+            self.tasks, branch.lines_most, branch.ring_bytes, branch.connect_s, branch.node_idle_s / 2
         )
-        self.idle: dict[Link, Task] = {}  # clients between two txns, the longest idle first; not the new
+        self.idle: dict[Link, Task] = {}  # clients between two txns, the longest idle first
         self.clients, self.ready, self.leaving, self.shut = 0, False, False, False
-        self.accepted_at, self.finished = self.tasks.now(), 0
+        self.accepted_at, self.finished, self.txns, self.crowded = self.tasks.now(), 0, 0, 0
+        self.away_s = branch.terms.max_defer_s * branch.terms.may_defer
         self.stands: tuple[int, int, str, float] | None = None  # of the release, as last told
 
     def run(self, leave: socket.socket | None = None) -> None:
@@ -80,7 +83,7 @@
             spawn(self.leave, leave)
         self.log.say("start", listen=branch.listen, links_most=branch.links_most)
         self.tasks.run()
-        self.log.say("stop", broken=log.broken, dropped=self.log.dropped)
+        self.log.say("stop", txns=self.finished, crowded=self.crowded, broken=log.broken)
         self.log.flush(100)
 
     # The Judge: every call goes through `tell`, which carries out what was ordered.
@@ -167,7 +170,11 @@
     def accept(self) -> None:
         while not self.shut:
             self.tasks.wait(float("inf"), (self.listener.fileno(), READ))
+            came = 0
             while self.clients < self.branch.links_most or self.make_room():
+                if came == ACCEPTS:
+                    break
+                came += 1
                 try:
                     sock, _ = self.listener.accept()
                 except BlockingIOError:
@@ -184,7 +191,9 @@
 
     def make_room(self) -> bool:
         """Sends the client away that has been idle longest; False where all are busy."""
-        return any(self.dismiss(link) for link in list(self.idle))
+        old = self.tasks.now() - UNASKED_S
+        some = [link for link in self.idle if link.known or link.idle_since < old]
+        return any(self.dismiss(link) for link in some)
 
     def dismiss(self, link: Link) -> bool:
         """Ends an idle client's connection, unless it has just begun to ask."""
@@ -217,8 +226,7 @@
     def read(self, link: Link, reader: http.Reader) -> http.Message | None:
         """What the client asks next; None where it ends the connection, or we do."""
         until, word_sent = float("inf"), False
-        if link.known:
-            self.idle[link] = self.tasks.current()
+        self.idle[link] = self.tasks.current()
         while True:
             ask = reader.step(link.inbox, link.ended)
             if ask is not None or link.ended:
@@ -240,8 +248,15 @@
         path = ask.start[1].partition(b"?")[0]
         if path in (READY, LIVE):
             status, body, more = 200 if path == LIVE or (self.ready and not self.leaving) else 503, b"", b""
+        elif self.txns >= self.branch.txns_most:  # a bounded queue: nothing was sent, so it may ask again
+            self.crowded += 1
+            status, body, more = 503, b"", b"Retry-After: %.3f\r\n" % self.away_s
         else:
-            status, body, more = self.live(link, ask)
+            self.txns += 1
+            try:
+                status, body, more = self.live(link, ask)
+            finally:
+                self.txns -= 1
         if status == GONE:
             return False
         stays, link.known = ask.stays and not self.leaving, True
--- a/pinward/net/ring.py
+++ b/pinward/net/ring.py
@@ -8,7 +8,7 @@
 from pinward.net.log import hold
 from pinward.net.scheduler import HANGUP, READ, WRITE, Scheduler
 
-QUEUED = 1024  # connections that the kernel may hold for `accept`
+QUEUED = 128  # connections that the kernel may hold for `accept`
 
 
 class Ring:
@@ -85,17 +85,10 @@
         self.inbox, self.outbox = Ring(size), Ring(size)
         self.ended = self.closed = self.known = False
         self.idle_since = tasks.now()
+        self.reads, self.hangs_up = (sock.fileno(), READ), (sock.fileno(), HANGUP)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
-    @property
-    def reads(self) -> tuple[int, int]:
-        return self.sock.fileno(), READ
-
-    @property
-    def hangs_up(self) -> tuple[int, int]:
-        return self.sock.fileno(), HANGUP
-
     def fill(self) -> None:
         """Reads once, where the inbox has room; `ended` once the peer will send nothing more."""
         if self.inbox.used < self.inbox.size and not self.ended:
--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -457,7 +457,7 @@
             seat.aside_until = max(seat.aside_until, now + FULL_S * self.chance.uniform(0.5, 1.5))
             return
         good, spent = result is Result.SETTLED, (now - sub.txn.taken) / product.sla_s
-        self.spent.append(spent)
+        self.spent.append(took / product.sla_s)  # without the wait here: else a bound holds itself up
         seat.samples.append((now, good, max(0.5, min(8.0, took / self.usual(product)))))
         if good:
             seat.aside_s = 0.0
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,119 @@
+"""A whole front against the toy fleet of `example/`, over real sockets; and the parsers by themselves."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import unittest
+from pathlib import Path
+
+from example import toy
+from pinward.config import FaultyKeyError, Sheet, decode_branch
+from pinward.net import http
+from pinward.net.ring import Ring
+from tests.trace import compare
+
+ROOT = Path(__file__).parent.parent
+FRONT = ("127.0.0.1", 9000)
+LOOK = "Request-Id: {id}\r\nRequest-Class: {product}\r\nRequest-Timeout-Ms: 1000\r\nIdempotency-Key: k\r\n"
+
+
+def ask(text: str) -> str:
+    """What a front answers to raw text: its status, its body, and `closed` where it ends the connection."""
+    with socket.create_connection(FRONT, timeout=5) as sock:
+        sock.sendall(text.encode())
+        data = b""
+        while b"\r\n\r\n" not in data:
+            part = sock.recv(65536)
+            if not part:
+                return "nothing"
+            data += part
+        head, _, body = data.decode().partition("\r\n\r\n")
+        closed = " closed" if "Connection: close" in head else ""
+        return f"{head.split()[1]} {body}{closed}".strip()
+
+
+class Whole(unittest.TestCase):
+    def test_a_front(self) -> None:
+        """Settled, faulty, full, broken and nonsensical nodes; malformed clients; SIGTERM while one waits."""
+        servers = toy.start()
+        env = {**os.environ, "ROUTER_CONFIG": str(ROOT / "example/config.json")}
+        front = subprocess.Popen(
+            [sys.executable, "-B", "-m", "pinward"], cwd=ROOT, env=env, stdout=subprocess.DEVNULL
+        )
+        try:
+            self.ready()
+            lines = []
+            for what in ("settle", "fault", "full", "break", "nonsense"):
+                for product in ("quote", "charge"):
+                    head = LOOK.format(id=1, product=product)
+                    answer = ask(f"GET /api?do={what} HTTP/1.1\r\n{head}\r\n")
+                    lines.append(f"{what}, {product}: {answer}")
+            long = "x" * 9000
+            for name, text in {
+                "no id": "GET /api HTTP/1.1\r\nRequest-Class: quote\r\n\r\n",
+                "no HTTP": "hello\r\n\r\n",
+                "two lengths": "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+                "long body": "POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n",
+                "long head": f"GET / HTTP/1.1\r\nA: {long}\r\n\r\n",
+            }.items():
+                lines.append(f"{name}: {ask(text)}")
+            with socket.create_connection(FRONT, timeout=5) as sock:
+                sock.sendall(f"GET /api HTTP/1.1\r\n{LOOK.format(id=2, product='quote')}".encode())
+                time.sleep(0.1)
+                front.send_signal(signal.SIGTERM)
+                time.sleep(0.1)
+                sock.sendall(b"\r\n")
+                last = sock.recv(65536)
+            lines.append(f"SIGTERM: {last.split()[1].decode()} closed {b'Connection: close' in last}")
+            lines.append(f"exit {front.wait(10)}")
+            compare(self, "front", lines)
+        finally:
+            front.kill()
+            front.wait()
+            for server in servers:
+                server.shutdown()
+                server.server_close()
+
+    def ready(self) -> None:
+        for _ in range(100):
+            try:
+                if ask("GET /health/ready HTTP/1.1\r\n\r\n").startswith("200"):
+                    return
+            except OSError:
+                pass
+            time.sleep(0.05)
+        self.fail("the front does not get ready")
+
+
+class Parts(unittest.TestCase):
+    def test_reader_by_bytes(self) -> None:
+        """A message is read alike whole and byte by byte, chunked or not, around the end of the ring."""
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n"
+        plain = b"HTTP/1.1 503 No\r\nContent-Length: 2\r\nNot-Started: 1\r\n\r\nno"
+        for step in (1, 7, 1000):
+            ring, reader, got = Ring(128), http.Reader(answers=True), []
+            data = (chunked + plain) * 3
+            while data or ring.used:
+                taken = ring.put(data[:step])
+                data = data[taken:]
+                message = reader.step(ring, ended=False)
+                if message:
+                    got.append((message.status, message.body))
+            self.assertEqual([(200, b"abcde"), (503, b"no")] * 3, got)
+
+    def test_faulty_keys(self) -> None:
+        lines = []
+        for told in ({}, {"settings": {"extra": 1}}, {"settings": {"extra": {}, "limits": {}, "safety": {}}}):
+            with self.assertRaises(FaultyKeyError) as caught:
+                decode_branch(Sheet(told, ""), {})
+            lines.append(str(caught.exception))
+        compare(self, "faulty-keys", lines)
+
+
+if __name__ == "__main__":
+    unittest.main()
