--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,16 @@
-.PHONY: build test lint run toy
+.PHONY: try build test lint run toy
+
+try: build  ## sets up all that is needed and runs a front before the toy fleet
+	.venv/bin/python -B example/toy.py --front
+
+test:  ## sets up all that is needed and runs ruff, mypy and the tests
+	sh deploy/test
 
 build:  ## .venv and the compiled package in build/lib
 	sh deploy/build
 
-test:
-	python3 -B -m unittest discover -s tests -t .
-
 lint:
-	.venv/bin/ruff check . || ruff check .
+	sh deploy/test ruff
 
 run: build  ## a front with the example's configuration; `make toy` beside it
 	cd build/lib && ROUTER_CONFIG=$(CURDIR)/example/config.json exec ../../.venv/bin/python -B -m pinward
--- a/example/toy.py
+++ b/example/toy.py
@@ -1,6 +1,6 @@
 """A toy fleet for a front to stand before: two nodes, their list, and a platform, all on loopback addresses.
 
-Run it beside `python -m pinward` with ROUTER_CONFIG=example/config.json, then ask for something:
+`make try` runs it with a front before it; then ask for something:
 
     curl -i -H 'Request-Id: 1' -H 'Request-Class: quote' -H 'Request-Timeout-Ms: 2000' http://127.0.0.1:9000/api
 
@@ -12,10 +12,14 @@
 from __future__ import annotations
 
 import json
+import os
 import socketserver
+import subprocess
+import sys
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
 
 NODES = {"s-one": ("127.0.0.1", 9101), "s-two": ("127.0.0.1", 9102)}
 DISCOVERY, PLATFORM = ("127.0.0.1", 9100), ("127.0.0.1", 9103)
@@ -110,7 +114,21 @@
     return servers
 
 
+def front() -> int:
+    """Runs the built front before this fleet until Ctrl-C; its exit status."""
+    root = Path(__file__).parent.parent
+    env = {**os.environ, "ROUTER_CONFIG": str(root / "example/config.json")}
+    with subprocess.Popen([sys.executable, "-B", "-m", "pinward"], cwd=root / "build/lib", env=env) as child:
+        try:
+            return child.wait()
+        except KeyboardInterrupt:
+            child.terminate()
+            return child.wait()
+
+
 if __name__ == "__main__":
     start()
-    print("two nodes, their list and a platform are up; end with Ctrl-C")
+    print("two nodes, their list and a platform are up; end with Ctrl-C", flush=True)
+    if sys.argv[1:] == ["--front"]:
+        sys.exit(front())
     threading.Event().wait()
--- a/pinward/__main__.py
+++ b/pinward/__main__.py
@@ -1,6 +1,6 @@
-"""One real front, told its place by ROUTER_CONFIG.
+"""One real front, told its place by ROUTER_CONFIG; with words after it, the command `pinward`.
 
-SIGTERM ends it once it has answered all it took; on SIGHUP it reads its configuration anew.
+SIGTERM ends the front once it has answered all it took; on SIGHUP it reads its configuration anew.
 """
 
 from __future__ import annotations
@@ -35,4 +35,8 @@
 
 
 if __name__ == "__main__":
+    if len(sys.argv) > 1:  # only then: the front's process loads none of the command's libraries
+        from pinward.command import main as command
+
+        sys.exit(command())
     sys.exit(main())
--- /dev/null
+++ b/pinward/settings/values.py
@@ -0,0 +1,46 @@
+"""What the words of a settings file stand for: times and sizes with units, addresses."""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated
+
+from pydantic import BeforeValidator
+
+TIMES = {"us": 1e-6, "ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}  # seconds
+SIZES = {"B": 1, "KiB": 2**10, "MiB": 2**20, "GiB": 2**30}  # bytes
+NUMBER = re.compile(r"(\d+(?:\.\d+)?)([A-Za-z]+)")
+
+
+def scaled(text: object, units: dict[str, float] | dict[str, int], example: str) -> float:
+    if isinstance(text, int | float):  # a default
+        return text
+    found = NUMBER.fullmatch(str(text))
+    if not found or found[2] not in units:
+        raise ValueError(f"must be a number with a unit of {', '.join(units)}, as {example}, not {text!r}")
+    return float(found[1]) * units[found[2]]
+
+
+def seconds(text: object) -> float:
+    """`250ms`, `10s`, `5m` as seconds."""
+    return scaled(text, TIMES, "250ms")
+
+
+def size(text: object) -> int:
+    """`64KiB`, `1MiB` as bytes."""
+    return int(scaled(text, SIZES, "64KiB"))
+
+
+def address(text: object) -> tuple[str, int]:
+    """`host:port`, the host numeric, IPv6 in brackets."""
+    if isinstance(text, tuple):
+        return text
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) <= 65535:
+        raise ValueError(f"must be host:port, not {text!r}")
+    return host.strip("[]"), int(port)
+
+
+Seconds = Annotated[float, BeforeValidator(seconds)]
+Size = Annotated[int, BeforeValidator(size)]
+Address = Annotated[tuple[str, int], BeforeValidator(address)]
