--- /dev/null
+++ b/pinward/command/lead.py
@@ -0,0 +1,210 @@
+"""`pinward lead`: runs an instance, and speaks with one that runs through its control socket."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+import orjson
+
+from pinward import logs
+from pinward.command.main import NotHeldError
+from pinward.lead.ledger import Act
+from pinward.lead.office import LeadFile
+from pinward.lead.store import Store, StoreError
+from pinward.settings import read
+
+ANSWER_S = 5.0  # s that an instance may take to answer a command
+FILE = click.argument("file", type=click.Path())
+JSON = click.option("--json", "as_json", is_flag=True, help="print JSON, for a program")
+
+
+def ask(file: str, **asked: object) -> dict[str, Any]:
+    """What the instance of a settings file answers; raises NotHeldError where it does not run."""
+    office = read(file, LeadFile)
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
+        sock.settimeout(ANSWER_S)
+        try:
+            sock.connect(str(office.state / "control"))
+            sock.sendall(orjson.dumps(asked) + b"\n")
+            data = b""
+            while not data.endswith(b"\n"):
+                part = sock.recv(65536)
+                if not part:
+                    break
+                data += part
+        except OSError as fault:
+            raise NotHeldError(f"instance {office.name} does not answer: {fault}") from None
+    if not data:
+        raise NotHeldError(f"instance {office.name} ended the connection")
+    return orjson.loads(data)
+
+
+def show(answer: dict[str, Any], as_json: bool, title: str = "") -> None:
+    """Prints an answer, as JSON or as a table; raises NotHeldError where it is a fault."""
+    if as_json:
+        click.echo(orjson.dumps(answer, option=orjson.OPT_INDENT_2).decode())
+    if "error" in answer:
+        raise NotHeldError(answer["error"])
+    if as_json:
+        return
+    from rich.console import Console
+    from rich.table import Table
+
+    table = Table(title=title or None, show_header=False)
+    for name, value in answer.items():
+        text = value if isinstance(value, str) else orjson.dumps(value).decode()
+        table.add_row(name.replace("_", " "), text)
+    Console().print(table)
+
+
+@click.group()
+def lead() -> None:
+    """Several control instances that reach one decision."""
+
+
+@lead.command()
+@FILE
+@click.option("--new", is_flag=True, help="begin an installation with the members of FILE")
+@click.option("--join", is_flag=True, help="join one that runs; then `members add` at its leader")
+def run(file: str, new: bool, join: bool) -> int:
+    """Runs an instance in the foreground; SIGTERM hands over and ends it.
+
+    \b
+    Example: pinward lead run --new i1.conf
+    """
+    from pinward.lead.instance import Instance
+
+    if new and join:
+        raise click.UsageError("--new and --join do not go together")
+    office = read(file, LeadFile)
+    told, teller = socket.socketpair()
+    teller.setblocking(False)
+    signal.set_wakeup_fd(teller.fileno(), warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+        signal.signal(number, lambda *_: None)  # each comes as a byte, its number, on `told`
+    log = logs.logger(instance=office.name)
+    store = Store(office.state)
+    try:
+        if new or join:
+            store.create(office.founding(joins=join), founds=new)
+        else:
+            store.open()
+        return Instance(office, store, log).run(told)
+    except (StoreError, OSError) as fault:
+        raise NotHeldError(str(fault)) from None
+
+
+@lead.command()
+@FILE
+@JSON
+def status(file: str, as_json: bool) -> None:
+    """What an instance knows of itself, its peers and those that apply."""
+    show(ask(file, do="status"), as_json)
+
+
+@lead.command("yield")
+@FILE
+@JSON
+def yield_(file: str, as_json: bool) -> None:
+    """Has the leader hand over to the most caught-up instance."""
+    show(ask(file, do="yield"), as_json)
+
+
+@lead.command()
+@FILE
+@click.option("--add", nargs=2, metavar="NAME HOST:PORT", help="as one that learns; it votes once caught up")
+@click.option("--remove", metavar="NAME")
+@JSON
+def members(file: str, add: tuple[str, str] | None, remove: str | None, as_json: bool) -> None:
+    """Shows the members, or changes one at a time, at the leader.
+
+    \b
+    Example: pinward lead members --add i4 10.0.0.4:7001 i1.conf
+    """
+    from pinward.settings.values import address
+
+    if add and remove:
+        raise click.UsageError("one change at a time")
+    if add:
+        try:
+            address(add[1])
+        except ValueError as fault:
+            raise click.UsageError(str(fault)) from None
+    asked = {"add": add} if add else {"remove": remove} if remove else {}
+    show(ask(file, do="members", **asked), as_json)
+
+
+@lead.command()
+@FILE
+@click.option("--since", type=int, help="show entries after this index")
+@JSON
+def log(file: str, since: int | None, as_json: bool) -> None:
+    """Shows the end of an instance's log."""
+    show(ask(file, do="log", **({} if since is None else {"since": since})), as_json)
+
+
+@lead.command()
+@FILE
+@JSON
+def snapshot(file: str, as_json: bool) -> None:
+    """Folds an instance's log now, and prints the state it comes to."""
+    show(ask(file, do="snapshot"), as_json)
+
+
+@lead.command()
+@FILE
+@click.argument("act", type=click.Choice([act.value for act in Act]))
+@click.option("--id", "name", required=True, help="identity: the same one again decides nothing new")
+@click.option("--release", type=click.IntRange(0), default=0)
+@click.option("--stage", type=click.IntRange(0), default=0)
+@click.option("--share", type=click.FloatRange(0.0, 1.0), default=1.0)
+@click.option("--node", default="")
+@JSON
+def decide(
+    file: str, act: str, name: str, release: int, stage: int, share: float, node: str, as_json: bool
+) -> None:
+    """Puts a decision into the log, at the leader, and waits until it is committed.
+
+    \b
+    Example: pinward lead decide --id offer-42 --release 42 i1.conf offer
+    """
+    facts = {"id": name, "act": act, "release": release, "stage": stage, "share": share, "node": node}
+    show(ask(file, do="decide", **facts), as_json)
+
+
+@lead.command()
+@click.option("--instances", type=click.IntRange(1, 9), default=3, show_default=True)
+@click.option("--steps", type=click.IntRange(1), default=60_000, show_default=True, help="states at most")
+@click.option("--plant", type=click.Choice(["none", "fence", "lease", "vote"]), default="none")
+@JSON
+def model(instances: int, steps: int, plant: str, as_json: bool) -> int:
+    """Explores the core exhaustively within bounds that it prints; exit 1 where something breaks."""
+    from pinward.lead.model import explore
+
+    found = explore(instances, steps, plant)
+    show(found, as_json)
+    return 1 if found["broken"] else 0
+
+
+@lead.command()
+@click.option("--seeds", type=click.IntRange(1), default=4, show_default=True)
+@click.option("--first", type=click.IntRange(0), default=1, show_default=True, help="the first seed")
+@click.option("--instances", type=click.IntRange(1, 9), default=3, show_default=True)
+@click.option("--seconds", type=click.FloatRange(1.0), default=20.0, show_default=True, help="of faults")
+@click.option("--json", "into", type=click.Path(path_type=Path), help="write the figures to this file")
+def trial(seeds: int, first: int, instances: int, seconds: float, into: Path | None) -> int:
+    """Runs real instances on loopback under pauses, cuts, kills and restarts, and checks what was applied."""
+    try:
+        from standin.lead_trial import play_all
+    except ImportError:
+        raise NotHeldError("the trial's stand-ins are in the repository only; run it there") from None
+    figures = play_all(range(first, first + seeds), instances, seconds, sys.stderr)
+    if into is not None:
+        into.write_bytes(orjson.dumps(figures, option=orjson.OPT_INDENT_2))
+    show({name: value for name, value in figures.items() if name != "runs"}, as_json=False)
+    return 1 if any(figures["broken"].values()) else 0
--- a/pinward/lead/core.py
+++ b/pinward/lead/core.py
@@ -3,8 +3,8 @@
 It does no I/O, reads no clock, and draws chance only from its seeded `Random`. Call `hear` for each word of a
 peer, `tick` at `wake_at` or later, `saved` once a Save is on disk, and `propose`, `change`, `hand_over` and
 `fold` as asked. After each call the caller carries out, in order, what stands in `sends` (peer, word) and
-`saves`, and applies what `take_committed` returns. Words that promise something wait in here until the disk
-holds it.
+`saves`, and applies what `take_jump` and `take_committed` return. Words that promise something wait in here
+until the disk holds it.
 
 The log is Raft's (Ongaro and Ousterhout 2014; Ongaro's thesis for pre-votes, check-quorum, hand-over and
 single-step membership with the amendment that a leader first commits in its own epoch).
@@ -50,6 +50,7 @@
         self.heard: float = now  # a start counts: it may have promised a leader to stay with it
         self.committed = self.applied = self.base.index
         self.durable = self.last  # the log's end on the own disk
+        self.jump: Base | None = kept.base if kept.base.index else None  # to begin from, not yet taken
         self.ticket = 0
         self.waits: deque[tuple[int, int, str, tuple[Any, ...]]] = deque()  # ticket, epoch, peer, word
         self.lasting: deque[tuple[int, int]] = deque()  # ticket, the log's end once it is saved
@@ -99,6 +100,11 @@
         """True while a list of members is not committed."""
         return any(entry.sort is Sort.MEMBERS for entry in self.after(self.committed))
 
+    def take_jump(self) -> Base | None:
+        """What to begin from anew, before what `take_committed` gives; None where nothing was skipped."""
+        jump, self.jump = self.jump, None
+        return jump
+
     def take_committed(self) -> list[Entry]:
         """The entries committed since the last call, in order."""
         new = self.after(self.applied)[: self.committed - self.applied]
@@ -367,7 +373,8 @@
             self.entries = self.after(base.index) if keeps else []
             self.base, self.members = base, base.members
             self.members = self.members_now()
-            self.committed = base.index
+            self.committed = self.applied = base.index
+            self.jump = base
             self.durable = min(self.durable, self.last)
             self.write(self.entries, base=base)
         reaches = max(base.index, self.base.index)
--- a/pinward/lead/simulated.py
+++ b/pinward/lead/simulated.py
@@ -115,7 +115,7 @@
         actor.paused_until = 0.0
         actor.waiting.clear()
         actor.core = Core(name, kept, self.pace, self.chance.randrange(2**32), self.local(actor))
-        actor.ledger = Ledger.of(3, kept.base.state)
+        actor.ledger = Ledger(3)
         self.wake(actor, actor.life)
 
     def kill(self, name: str) -> None:
@@ -168,6 +168,8 @@
             actor.saved_at = max(self.now + self.save_s * (0.5 + self.chance.random()), actor.saved_at)
             self.at(actor.saved_at, partial(self.saved, actor, life, save))
         core.notes.clear()
+        if (jump := core.take_jump()) is not None:
+            actor.ledger = Ledger.of(3, jump.state)
         for entry in core.take_committed():
             self.committed(actor, entry)
         if core.applied - core.base.index >= FOLD_AT:
--- a/pinward/net/ring.py
+++ b/pinward/net/ring.py
@@ -87,7 +87,8 @@
         self.idle_since = tasks.now()
         self.reads, self.hangs_up = (sock.fileno(), READ), (sock.fileno(), HANGUP)
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if sock.family != socket.AF_UNIX:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def fill(self) -> None:
         """Reads once, where the inbox has room; `ended` once the peer will send nothing more."""
@@ -137,12 +138,17 @@
             self.sock.close()
 
 
-def connect(tasks: Scheduler, where: tuple[str, int], size: int, until: float) -> Link:
-    """A new connection, or an OSError: TimeoutError where it does not come up in time."""
+def connect(
+    tasks: Scheduler, where: tuple[str, int], size: int, until: float, source: str | None = None
+) -> Link:
+    """A new connection, from the address `source` where told, or an OSError: TimeoutError where it does not
+    come up in time."""
     family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
+        if source is not None:
+            sock.bind((source, 0))
         code = sock.connect_ex(where)
         if code == errno.EINPROGRESS:
             if not tasks.wait(until, (sock.fileno(), WRITE)):
