--- a/standin/lead_trial.py
+++ b/standin/lead_trial.py
@@ -52,7 +52,7 @@
     while at < seconds:
         kind = chance.choice([
             "kill", "kill", "pause", "pause", "cut", "cut", "split", "yield", "flap", "reset", "slow",
-            "kill-two", "kill-applier", "cut-applier", "kill-all", "torn",
+            "kill-two", "kill-applier", "cut-applier", "kill-all", "torn", "late-word", "late-word",
         ])  # fmt: skip
         who = chance.choice(["leader", "leader", *names])
         other = chance.choice(names)
@@ -129,7 +129,8 @@
             await self.net.proxy(name, (self.shown(name), port), (self.own(name), port))
         for n in range(APPLIERS):
             name = f"a{n}"
-            words = ["standin.applier", f"{self.own(name)}:{APPLIER_PORT}", str(self.folder / f"{name}.record")]
+            record = self.folder / f"{name}.record"
+            words = ["standin.applier", f"{self.own(name)}:{APPLIER_PORT}", str(record)]
             self.processes[name] = Process(name, words, self.folder / f"{name}.log")
         for name in self.names:
             path = self.write_file(name)
@@ -227,6 +228,8 @@
             process.pause()
             await asyncio.sleep(step.for_s)
             process.go_on()
+        elif step.what == "late-word":
+            await self.late_word(name, step.for_s)
         elif step.what == "yield":
             answer = await self.ask(name, do="yield")
             if answer and answer.get("heir"):
@@ -263,6 +266,20 @@
             await asyncio.sleep(step.for_s)
             self.net.mend(name, other)
 
+    async def late_word(self, name: str, for_s: float) -> None:
+        """What a leader had said when it was paused arrives after another has spoken."""
+        appliers = [f"a{n}" for n in range(APPLIERS)]
+        for applier in appliers:
+            self.net.cut(name, applier)
+        await asyncio.sleep(0.2)
+        self.processes[name].pause()
+        await self.time_gap([], but=name)
+        await asyncio.sleep(for_s)
+        for applier in appliers:
+            self.net.mend(name, applier)
+        await asyncio.sleep(0.2)
+        self.processes[name].go_on()
+
     def tear(self, name: str, chance: Random) -> None:
         """The disk of a killed instance loses part of a write that was never acknowledged."""
         states = sorted((self.folder / name).glob("state.*"))
@@ -431,7 +448,8 @@
             done.append(figures)
             verdict = "broken: " + ", ".join(figures.broken) if figures.broken else "sound"
             told = f"{figures.applied} applied in {figures.epochs} epochs, {figures.stale} refused as stale"
-            print(f"seed {figures.seed}: {told}, {verdict} ({len(done)} of {len(seeds)})", file=out, flush=True)
+            told += f", {verdict} ({len(done)} of {len(seeds)})"
+            print(f"seed {figures.seed}: {told}", file=out, flush=True)
     done.sort(key=lambda figures: figures.seed)
     broken: dict[str, int] = {
         "applied by a leader that was followed": 0, "two leaders in one epoch": 0, "applied twice": 0,
--- a/standin/links.py
+++ b/standin/links.py
@@ -1,9 +1,9 @@
 """A loopback network that fails on purpose: proxies before each listener, with faults by who connects.
 
 Who connects is told by its own address (127.x.y.1), so one proxy serves all that speak with a listener. A
-link is an ordered pair of names; each may be cut (bytes wait and nothing is said), delayed, throttled, refused, or
-reset in the middle of what is on its way. Cut bytes of a connection that the sender has given up arrive once
-the link is whole again, after what a newer connection brought: that is the reordering of real networks.
+link is an ordered pair of names; each may be cut (bytes wait and nothing is said), delayed, throttled,
+refused, or reset in the middle of what is on its way. Cut bytes of a connection that the sender has given up
+arrive once the link is whole again, after what a newer connection brought: the reordering of real networks.
 """
 
 from __future__ import annotations
