--- a/pinward/lead/store.py
+++ b/pinward/lead/store.py
@@ -115,6 +115,13 @@
 
     def open(self) -> Kept:
         """Reads the state; raises StoreError where there is none or it is damaged."""
+        try:
+            return self.read()
+        except StoreError:
+            self.close()
+            raise
+
+    def read(self) -> Kept:
         self.hold()
         found = self.generations()
         if not found:
