--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: try build test lint run toy
+.PHONY: try build test lint run toy three
 
 try: build  ## sets up all that is needed and runs a front before the toy fleet
 	.venv/bin/python -B example/toy.py --front
@@ -15,5 +15,9 @@
 run: build  ## a front with the example's configuration; `make toy` beside it
 	cd build/lib && ROUTER_CONFIG=$(CURDIR)/example/config.json exec ../../.venv/bin/python -B -m pinward
 
+three:  ## sets up all that is needed and runs three control instances until Ctrl-C
+	sh deploy/test setup
+	.venv-test/bin/python -B example/three.py
+
 toy:
 	python3 example/toy.py
--- a/pinward/command/lead.py
+++ b/pinward/command/lead.py
@@ -13,7 +13,7 @@
 
 from pinward import logs
 from pinward.command.main import NotHeldError
-from pinward.lead.ledger import Act
+from pinward.lead.ledger import Act, Ledger
 from pinward.lead.office import LeadFile
 from pinward.lead.store import Store, StoreError
 from pinward.settings import read
@@ -44,6 +44,15 @@
     return orjson.loads(data)
 
 
+def state_of(path: Path, stages: int) -> dict[str, Any]:
+    """The state that `snapshot --json` printed into a file."""
+    try:
+        state = orjson.loads(path.read_bytes())["state"]
+        return Ledger.of(stages, state).plain()
+    except (OSError, ValueError, KeyError, TypeError) as fault:
+        raise click.UsageError(f"{path}: holds no snapshot: {fault!r}") from None
+
+
 def show(answer: dict[str, Any], as_json: bool, title: str = "") -> None:
     """Prints an answer, as JSON or as a table; raises NotHeldError where it is a fault."""
     if as_json:
@@ -70,8 +79,10 @@
 @lead.command()
 @FILE
 @click.option("--new", is_flag=True, help="begin an installation with the members of FILE")
-@click.option("--join", is_flag=True, help="join one that runs; then `members add` at its leader")
-def run(file: str, new: bool, join: bool) -> int:
+@click.option("--join", is_flag=True, help="join one that runs; then `members --add` at its leader")
+@click.option("--from", "snapshot", type=click.Path(exists=True, path_type=Path),
+              help="with --new: go on from what `snapshot --json` printed")  # fmt: skip
+def run(file: str, new: bool, join: bool, snapshot: Path | None) -> int:
     """Runs an instance in the foreground; SIGTERM hands over and ends it.
 
     \b
@@ -81,7 +92,10 @@
 
     if new and join:
         raise click.UsageError("--new and --join do not go together")
+    if snapshot and not new:
+        raise click.UsageError("--from goes with --new")
     office = read(file, LeadFile)
+    state = state_of(snapshot, len(office.stage)) if snapshot else None
     told, teller = socket.socketpair()
     teller.setblocking(False)
     signal.set_wakeup_fd(teller.fileno(), warn_on_full_buffer=False)
@@ -91,7 +105,7 @@
     store = Store(office.state)
     try:
         if new or join:
-            store.create(office.founding(joins=join), founds=new)
+            store.create(office.founding(joins=join), founds=new, state=state)
         else:
             store.open()
         return Instance(office, store, log).run(told)
@@ -202,9 +216,28 @@
     try:
         from standin.lead_trial import play_all
     except ImportError:
-        raise NotHeldError("the trial's stand-ins are in the repository only; run it there") from None
+        raise NotHeldError("its stand-ins are in the repository only; run it there") from None
     figures = play_all(range(first, first + seeds), instances, seconds, sys.stderr)
     if into is not None:
         into.write_bytes(orjson.dumps(figures, option=orjson.OPT_INDENT_2))
     show({name: value for name, value in figures.items() if name != "runs"}, as_json=False)
     return 1 if any(figures["broken"].values()) else 0
+
+
+@lead.command()
+@click.option("--sizes", default="3,5,7,9", show_default=True, help="instances, in simulated time")
+@click.option("--listeners", type=click.IntRange(0, 4000), default=1000, help="on loopback")
+@click.option("--json", "into", type=click.Path(path_type=Path), help="write the figures to this file")
+def scale(sizes: str, listeners: int, into: Path | None) -> None:
+    """Measures gaps and words at several sizes, and how late decisions reach many listeners."""
+    try:
+        from standin.lead_scale import measure
+    except ImportError:
+        raise NotHeldError("its stand-ins are in the repository only; run it there") from None
+    try:
+        wanted = [int(size) for size in sizes.split(",")]
+    except ValueError:
+        raise click.UsageError(f"sizes are whole numbers with commas, not {sizes!r}") from None
+    figures = measure(wanted, listeners, sys.stdout)
+    if into is not None:
+        into.write_bytes(orjson.dumps(figures, option=orjson.OPT_INDENT_2))
--- a/pinward/lead/instance.py
+++ b/pinward/lead/instance.py
@@ -32,6 +32,7 @@
 
 ANSWER_S = 2.0  # s that a front's vote or a command may wait for the leader
 DESK_MOST = 4096  # connections of fronts and listeners
+DESK_RING_BYTES = 8 * 1024  # a direction of one of these: a line of the platform's, twice
 IDLE_S = 60.0  # s after which a connection that says nothing ends, unless it watches
 SIGN_S = 1.0  # s between signs of life to those that watch
 PENDING_MOST = 1024  # votes passed on that wait for the leader's word
@@ -324,7 +325,7 @@
         if self.desk_links >= DESK_MOST if front else self.control_links >= CONTROL_MOST:
             sock.close()
             return
-        link = Link(self.tasks, sock, RING_BYTES)
+        link = Link(self.tasks, sock, DESK_RING_BYTES if front else RING_BYTES)
         self.desk_links += front
         self.control_links += not front
         try:
--- a/pinward/lead/model.py
+++ b/pinward/lead/model.py
@@ -286,7 +286,7 @@
         """Visits states until one is broken, all are seen, or `most` are."""
         began, order = time.monotonic(), count()
         seen = {self.frozen(world)}
-        frontier = [(0, 0, next(order), world, ())]
+        frontier: list[tuple[int, int, int, World, tuple[str, ...]]] = [(0, 0, next(order), world, ())]
         deepest = 0
         while frontier and len(seen) < most:
             _, depth, _, here, way = heappop(frontier)
--- a/pinward/lead/store.py
+++ b/pinward/lead/store.py
@@ -103,14 +103,15 @@
         names = (path.name.removeprefix(PREFIX) for path in self.folder.glob(f"{PREFIX}*"))
         return sorted(int(name) for name in names if name.isdecimal())
 
-    def create(self, members: Members, founds: bool) -> None:
-        """Makes an empty state; raises StoreError where there is one."""
+    def create(self, members: Members, founds: bool, state: dict[str, Any] | None = None) -> None:
+        """Makes an empty state, or one that goes on from a snapshot; raises StoreError where there is one."""
         self.hold()
         if self.generations():
             raise StoreError(f"{self.folder}: holds a state already; start without --new and --join")
         self.birth = f"{time.time_ns():x}-{os.getpid():x}"
-        self.founding = members.plain() if founds else None
-        self.kept = Kept(0, None, Base(0, 0, members, None))
+        self.founding = {**members.plain(), "place": state["place"] if state else 0} if founds else None
+        began = 1 if state else 0  # a snapshot stands for the log's first entry
+        self.kept = Kept(began, None, Base(began, began, members, state))
         self.rewrite()
 
     def open(self) -> Kept:
--- a/standin/lead_trial.py
+++ b/standin/lead_trial.py
@@ -155,7 +155,7 @@
                 finally:
                     writer.close()
         except (OSError, TimeoutError, ValueError):
-            return None
+            return None  # dead, paused, or ended meanwhile
 
     async def who_acts(self) -> str | None:
         async def one(name: str) -> str | None:
--- a/standin/links.py
+++ b/standin/links.py
@@ -65,7 +65,7 @@
         except OSError:
             return
         finally:
-            if there.refused:
+            if there.refused or "far_writer" not in locals():
                 writer.close()
         pumps = [
             asyncio.ensure_future(self.pump(there, reader, far_writer)),
--- a/tests/test_lead_whole.py
+++ b/tests/test_lead_whole.py
@@ -55,11 +55,13 @@
     def write_file(self, name: str, members: list[str], *more: str) -> Path:
         lines = [
             "installation test", f"name {name}", f"state {self.folder / name}",
-            "wait 400ms", "beat 80ms", f"listen {self.where(name)}:{PORT}", f"desk {self.where(name)}:{DESK}", "gate shares", "fronts 3",
+            "wait 400ms", "beat 80ms",
+            f"listen {self.where(name)}:{PORT}", f"desk {self.where(name)}:{DESK}", "gate shares", "fronts 3",
             "on-share 60%", "stage 10%", "stage 50%", "stage 100%", "vote-life 3s",
             "applier platform {", f"  address {self.NET}.9.1:{APPLIER}", "}",
             "keys {", f"  authority {self.folder}/keys/authority.pem",
-            f"  certificate {self.folder}/keys/{name}.pem", f"  key {self.folder}/keys/{name}.key", "}", *more,
+            f"  certificate {self.folder}/keys/{name}.pem", f"  key {self.folder}/keys/{name}.key", "}",
+            *more,
         ]  # fmt: skip
         for member in members:
             lines += [f"member {member} {{", f"  address {self.where(member)}:{PORT}", "}"]
@@ -214,6 +216,32 @@
         self.decide(id="d2", act="drain", node="n2")
         self.assertTrue(until(lambda: self.ask("i4", do="status").get("place") == 2, 5.0))
 
+    def test_an_installation_that_lost_its_majority_goes_on_from_a_snapshot(self) -> None:
+        names = self.three()
+        for n in range(3):
+            self.decide(id=f"d{n}", act="drain", node=f"n{n}")
+        self.await_applied(3)
+        for _ in range(3):
+            leader = self.leader() or ""
+            self.assertIn("heir", self.ask(leader, do="yield"))
+        self.assertTrue(until(lambda: self.ask("i1", do="status")["place"] == 3, 5.0))
+        self.assertTrue(until(lambda: rows(self.record)[-1]["epoch"] > 2, 5.0))
+        for name in names[1:]:
+            self.processes[name].kill()
+        self.assertTrue(until(lambda: not self.ask("i1", do="status")["acts"], 5.0))
+        told = command("lead", "snapshot", "--json", str(self.folder / "i1.conf"))
+        (self.folder / "snapshot.json").write_text(told.stdout)
+        self.processes["i1"].end()
+        keys.make_keys(self.folder / "keys", self.authority, "i5", 3600.0)
+        path = self.write_file("i5", ["i5"])
+        snapshot = str(self.folder / "snapshot.json")
+        self.process("i5", ["pinward", "lead", "run", "--new", "--from", snapshot, str(path)]).start()
+        self.decide(id="after", act="drain", node="n9")
+        self.await_applied(4)
+        self.assertEqual([row["id"] for row in self.applied()], ["d0", "d1", "d2", "after"])
+        self.assertEqual([row["place"] for row in self.applied()], [1, 2, 3, 4])
+        self.assertIn('"event":"stale"', self.log("i5"))  # those that apply had met later leaderships
+
     def test_strangers_and_expired_certificates_are_refused(self) -> None:
         names = self.three()
         stranger = keys.make_authority(self.folder / "other", 3600.0)
