The list's cell is a circle of nodes, so that a cell can mean customers and their nodes

Change: interface, Judge and adapters say circle for the nodes that drop each other's repeats; behaviour is the same.

--- a/pinward/config.py
+++ b/pinward/config.py
@@ -30,7 +30,7 @@
     "idempotency_key": Kind.REFERENCED,
     "non_idempotent": Kind.ONCE_ONLY,
 }
-GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CIRCLE}
 GATES = {"single": Gate.SINGLE, "majority": Gate.MAJORITY, "clocked": Gate.CLOCKED}
 STYLES = {"rolling": True, "side_by_side": False}
 STATES = {"up": True, "draining": False, "removed": None}
@@ -231,7 +231,7 @@
     state: bool | None  # ready, draining, or None: gone
     where: tuple[str, int] | None
     zone: str
-    cell: int
+    circle: int
     units: float
     started: float
     release: int | None
@@ -253,7 +253,7 @@
         state=state,
         where=None if gone else node.address("endpoint"),
         zone=node.text("az", "-"),
-        cell=node.count("pod_group", 0),
+        circle=node.count("pod_group", 0),
         units=node.number("capacity_hint", 1.0),
         started=node.number("boot_ms", 0) / 1000,
         release=None if gone else node.count("release"),
--- a/pinward/net/front.py
+++ b/pinward/net/front.py
@@ -137,7 +137,7 @@
             node,
             release=node.release if entry.release is None else entry.release,
             zone=zones.index(entry.zone) if entry.zone in zones else 0,
-            cell=entry.cell,
+            circle=entry.circle,
             units=entry.units,
             started=entry.started,
             ready=bool(entry.state),
--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -120,7 +120,7 @@
             if seat is None or node.started != line.started or node.release != line.release:
                 fresh = Seat(node, line.started, self.cold, RATE_S, SAMPLES, self.chance.random())
                 fresh.open, self.seats[node] = seat.open if seat else [], fresh
-            node.release, node.zone, node.cell = line.release, line.zone, line.cell
+            node.release, node.zone, node.circle = line.release, line.zone, line.circle
             node.units, node.started, node.ready = max(line.units, 0.01), line.started, line.ready
         self.arms(now)
         self.watching, self.asked = (self.watching, self.asked) if old else (True, 0)
--- a/pinward/terms.py
+++ b/pinward/terms.py
@@ -24,7 +24,7 @@
 
     ALL = auto()
     ZONE = auto()
-    CELL = auto()
+    CIRCLE = auto()
 
 
 class State(IntEnum):
@@ -130,7 +130,7 @@
     name: str
     release: int = 0
     zone: int = 0
-    cell: int = 0
+    circle: int = 0  # of nodes that drop each other's repeats
     units: float = 1.0
     started: float = 0.0
     ready: bool = False
@@ -143,7 +143,7 @@
     node: Node
     release: int
     zone: int
-    cell: int
+    circle: int
     units: float
     started: float
     ready: bool
@@ -171,7 +171,7 @@
         ran, group = self.submissions and self.ran, self.product.group
         if not ran or self.product.kind is Kind.INQUIRY_LIKE or group is Group.ALL:
             return True
-        return ran.node.zone == node.zone if group is Group.ZONE else ran.node.cell == node.cell
+        return ran.node.zone == node.zone if group is Group.ZONE else ran.node.circle == node.circle
 
     @property
     def over(self) -> bool:
--- a/pinward/wirehost/codec.py
+++ b/pinward/wirehost/codec.py
@@ -83,7 +83,7 @@
             node,
             release=int(line["release"]),
             zone=line.get("failureDomain") or 0,
-            cell=line.get("pack") or 0,
+            circle=line.get("pack") or 0,
             units=1.0 if line.get("units") is None else line["units"],
             started=line.get("lastStartS") or 0.0,
             ready=line["lifecycle"] == "Ready",
--- a/tests/test_lead_whole.py
+++ b/tests/test_lead_whole.py
@@ -242,6 +242,22 @@
         self.assertEqual([row["place"] for row in self.applied()], [1, 2, 3, 4])
         self.assertIn('"event":"stale"', self.log("i5"))  # those that apply had met later leaderships
 
+    def test_a_full_disk_ends_the_instance_and_the_others_go_on(self) -> None:
+        names = ["i1", "i2", "i3"]
+        for name in names[:2]:
+            self.instance(name, names)
+        keys.make_keys(self.folder / "keys", self.authority, "i3", 3600.0)
+        path = self.write_file("i3", names)
+        full = self.process("i3", ["tests.crowded", "16384", "lead", "run", "--new", str(path)])
+        full.start()
+        for n in range(200):
+            self.decide(id=f"d{n}", act="drain", node=f"node-{n}" + "x" * 100)
+        self.assertTrue(until(lambda: not full.alive, 10.0))
+        self.assertEqual(full.child.returncode if full.child else None, 1)
+        self.assertIn('"event":"disk-failed"', self.log("i3"))
+        self.decide(id="after", act="drain", node="n")
+        self.await_applied(201)
+
     def test_strangers_and_expired_certificates_are_refused(self) -> None:
         names = self.three()
         stranger = keys.make_authority(self.folder / "other", 3600.0)
