--- a/pinward/__main__.py
+++ b/pinward/__main__.py
@@ -6,9 +6,11 @@
 from __future__ import annotations
 
 import gc
+import os
 import signal
 import socket
 import sys
+import time
 
 from pinward.config import FaultyKeyError, read_branch
 from pinward.net.front import Front
@@ -30,7 +32,16 @@
         return 2
     gc.freeze()
     gc.set_threshold(*COLLECT)
-    Front(branch, Log(branch.name)).run(told, read_branch)
+    door = None
+    if path := os.environ.get("PINWARD_CELLS"):  # only then: its libraries are not the front's
+        from pinward.cells.door import open_door
+
+        try:
+            door = open_door(path, time.time())
+        except ValueError as fault:
+            print(f"pinward: {fault}", file=sys.stderr)
+            return 2
+    Front(branch, Log(branch.name), door).run(told, read_branch)
     return 0
 
 
--- a/pinward/lead/office.py
+++ b/pinward/lead/office.py
@@ -10,28 +10,17 @@
 
 from pinward.lead.gates import GateTerms, Way
 from pinward.lead.terms import Members, Pace
-from pinward.settings import Address, Block, Seconds
+from pinward.settings import Address, Block, Seconds, Share
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 
 
-def share(text: object) -> float:
-    """`8%` as 0.08."""
-    if isinstance(text, float):
-        return text
-    number = re.fullmatch(r"(\d+(?:\.\d+)?)%", str(text))
-    if not number:
-        raise ValueError(f"must be a share, as 8%, not {text!r}")
-    return float(number[1]) / 100
-
-
 def name(text: object) -> str:
     if not isinstance(text, str) or not NAME.fullmatch(text):
         raise ValueError(f"must be a name of letters, digits, dots and dashes, not {text!r}")
     return text
 
 
-Share = Annotated[float, BeforeValidator(share), Field(ge=0.0, le=1.0)]
 Name = Annotated[str, BeforeValidator(name)]
 
 
--- a/pinward/net/front.py
+++ b/pinward/net/front.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from pinward.config import Branch, Entry, FaultyKeyError, Told
 from pinward.net import http, log
@@ -43,8 +44,9 @@
 
 
 class Front:
-    def __init__(self, branch: Branch, log: Log) -> None:
+    def __init__(self, branch: Branch, log: Log, cells: Any = None) -> None:
         self.branch, self.log, self.tasks = branch, log, Scheduler()
+        self.cells = cells  # a `pinward.cells.door.Door` where customers are confined to cells
         self.tasks.failed = self.failed
         self.judge = Judge(branch.terms, branch.seed, self.tasks.now())
         self.slack_s = branch.terms.answer_slack_s
@@ -130,6 +132,8 @@
 
     def listing(self, entry: Entry) -> Listing:
         zones, node = self.branch.zones, self.nodes.setdefault(entry.name, Node(entry.name))
+        if self.cells is not None:
+            self.cells.settle(node)
         if entry.where is not None:
             anew = (entry.started, entry.release) != (node.started, node.release)
             self.pool.locate(node, entry.where, anew)
@@ -255,7 +259,8 @@
             txn, name = self.admit(ask), ask.fields[b"request-id"]
             self.ids.add(name)
             try:
-                status, body, more = self.live(link, ask, txn)
+                live = self.live if self.cells is None else self.confined
+                status, body, more = live(link, ask, txn)
             finally:
                 self.ids.discard(name)
         if status == GONE:
@@ -299,6 +304,20 @@
         expiry = now + min(int(allowed) / 1000, product.expiry_s)
         return Txn(product, customer, expiry, taken=now, tag=Desk(self.tasks.current(), name))
 
+    def confined(self, link: Link, ask: http.Message, txn: Txn) -> tuple[int, bytes, bytes]:
+        """A txn within its customer's cells; one beyond their limits is declined at once."""
+        customer, repeat = text(ask, b"tenant"), ask.fields.get(b"client-retry") == b"1"
+        key, drawn = text(ask, b"idempotency-key"), self.judge.chance.random()
+        cells, cell, away_s = self.cells.admit(txn.taken, customer, txn.product.kind, key, drawn, repeat)
+        if not cells:
+            most_s = self.branch.terms.max_defer_s if self.branch.terms.may_defer else 0.0
+            return 503, b"", b"Retry-After: %.3f\r\n" % min(away_s, most_s) if most_s else b""
+        txn.cells = cells
+        try:
+            return self.live(link, ask, txn)
+        finally:
+            self.cells.ended(self.tasks.now(), customer, cell)
+
     def live(self, link: Link, ask: http.Message, txn: Txn) -> tuple[int, bytes, bytes]:
         """The life of a txn: its final answer, or GONE where the client left before it."""
         self.tell(self.judge.take, txn)  # the Judge chooses a node, or lets it wait, or gives it up
@@ -422,7 +441,9 @@
                 self.leave()
 
     def reload(self, anew: Callable[[], Branch]) -> None:
-        """Goes to the addresses of a new configuration, if that is faultless; all else counts at a start."""
+        """Goes to the addresses of a new configuration, if that is faultless; else only the map is new."""
+        if self.cells is not None:
+            self.renew_map()
         try:
             branch = anew()
         except Exception as fault:  # whatever is wrong with a file, signals are heeded after it
@@ -435,6 +456,17 @@
         self.log.say("reload", discovery=branch.discovery, platform=branch.platform)
         self.branch.discovery, self.branch.platform = branch.discovery, branch.platform
 
+    def renew_map(self) -> None:
+        """Takes the map of cells anew, if it may follow the one in force, and tells the Judge."""
+        try:
+            self.log.say("cells", version=self.cells.renew(), moving=self.cells.moving)
+        except ValueError as fault:
+            self.log.say("cells", faulty=str(fault))
+            return
+        for node in self.nodes.values():
+            self.cells.settle(node)
+        self.tell(self.judge.arms)
+
     def leave(self) -> None:
         """Takes what still comes, finishes what was taken, and ends."""
         self.leaving = True
--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -93,6 +93,7 @@
         self.seats: dict[Node, Seat] = {}
         self.trial, self.older, self.fresh = [], [], []  # ready seats: on trial, others; of both, the cold
         self.used, self.used_most, self.change_at = [[], []], USED_LEAST, now  # of these, the warm in use
+        self.within: dict[tuple[str, int], list[Seat]] = {}  # the warm by cell and arm, lowest numbers first
         self.held: list[tuple[float, float, float, Txn]] = []  # dearest, then newest first
         self.takes, self.sends = Tally(self.cap_s + RATE_S), Tally(self.cap_s + RATE_S)
         self.evidence, self.counts, self.wrongs = Record(KEPT), deque(maxlen=LATELY), deque(maxlen=LATELY)
@@ -225,8 +226,22 @@
     def choose(self, now: float) -> None:
         """The warm nodes of each arm that this front uses: those with the lowest numbers, drawn by chance."""
         # Acts where traffic is too little to know all nodes; guards against slow, squeezed ones. Harm: none.
-        warm = ([s for s in arm if s.warm_at <= now] for arm in (self.trial, self.older))
+        warm = [[s for s in arm if s.warm_at <= now] for arm in (self.trial, self.older)]
         self.used = [sorted(arm, key=lambda s: s.draw)[: self.used_most] for arm in warm]
+        self.within.clear()
+        for arm, older in ((warm[0], 0), (warm[1], 1)):
+            for seat in sorted((s for s in arm if s.node.cell), key=lambda s: s.draw):
+                self.within.setdefault((seat.node.cell, older), []).append(seat)
+
+    def reach(self, txn: Txn, arm: list[Seat]) -> tuple[list[Seat], list[Seat]]:
+        """Of an arm, the warm nodes to draw from for a txn, and all that it may use at last."""
+        older = int(arm is self.older)
+        if txn.cells is None:
+            return self.used[older], arm
+        # Acts where customers are confined to cells; one cell of several at a time. Harm: few nodes a draw.
+        found = [seats for c in txn.cells if (seats := self.within.get((c, older)))]
+        near = found[int(self.chance.random() * len(found))] if found else []
+        return near[: self.used_most], near if len(found) < 2 else [s for seats in found for s in seats]
 
     def change(self, now: float) -> None:
         self.change_at = now + CHANGE_S * self.chance.uniform(0.7, 1.3)
@@ -331,14 +346,16 @@
 
     def pick(self, now: float, txn: Txn, arm: list[Seat], floor: int) -> Seat | None:
         """Two random choices among an arm's nodes that may take one more, the lighter of the two."""
-        met, used, found = [s.node for s in txn.submissions], self.used[arm is self.older], []
+        met, found, (used, whole) = [s.node for s in txn.submissions], [], self.reach(txn, arm)
         for seat in [used[int(self.chance.random() * len(used))] for _ in range(DRAWS)] if used else ():
             if seat not in found and seat.node not in met and self.open_to(now, txn, seat, floor):
                 found.append(seat)
                 if len(found) == 2:
                     return min(found, key=lambda s: self.weight(now, s, txn))
-        start = self.chance.randrange(len(arm)) if not found else 0  # few are open: the first, from anywhere
-        around = arm[start:] + arm[:start]
+        if not whole:
+            return None
+        start = self.chance.randrange(len(whole)) if not found else 0  # few open: the first, from anywhere
+        around = whole[start:] + whole[:start]
         fits = (s for s in around if s.warm_at <= now and self.open_to(now, txn, s, floor))
         return found[0] if found else next(fits, None)
 
@@ -347,6 +364,8 @@
         aside = now < seat.aside_until or (seat.aside_s > 0 and seat.open) or seat.node.release < floor
         if aside or not txn.dropped_by(seat.node):
             return False
+        if txn.cells is not None and seat.node.cell not in txn.cells:
+            return False
         settled = self.open_s * seat.settles.since(now - RATE_S) / RATE_S  # in a part of the SLA time
         return len(seat.open) < max(1.0, self.open_part, settled)
 
--- a/pinward/settings/__init__.py
+++ b/pinward/settings/__init__.py
@@ -6,6 +6,6 @@
 
 from pinward.settings.grammar import Directive, Fault, FaultyFileError
 from pinward.settings.sheet import Block, read
-from pinward.settings.values import Address, Seconds, Size
+from pinward.settings.values import Address, Seconds, Share, Size
 
-__all__ = ["Address", "Block", "Directive", "Fault", "FaultyFileError", "Seconds", "Size", "read"]
+__all__ = ["Address", "Block", "Directive", "Fault", "FaultyFileError", "Seconds", "Share", "Size", "read"]
--- a/pinward/settings/values.py
+++ b/pinward/settings/values.py
@@ -5,7 +5,7 @@
 import re
 from typing import Annotated
 
-from pydantic import BeforeValidator
+from pydantic import BeforeValidator, Field
 
 TIMES = {"us": 1e-6, "ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}  # seconds
 SIZES = {"B": 1, "KiB": 2**10, "MiB": 2**20, "GiB": 2**30}  # bytes
@@ -31,6 +31,16 @@
     return int(scaled(text, SIZES, "64KiB"))
 
 
+def share(text: object) -> float:
+    """`8%` as 0.08."""
+    if isinstance(text, float):
+        return text
+    number = re.fullmatch(r"(\d+(?:\.\d+)?)%", str(text))
+    if not number:
+        raise ValueError(f"must be a share, as 8%, not {text!r}")
+    return float(number[1]) / 100
+
+
 def address(text: object) -> tuple[str, int]:
     """`host:port`, the host numeric, IPv6 in brackets."""
     if isinstance(text, tuple):
@@ -43,4 +53,5 @@
 
 Seconds = Annotated[float, BeforeValidator(seconds)]
 Size = Annotated[int, BeforeValidator(size)]
+Share = Annotated[float, BeforeValidator(share), Field(ge=0.0, le=1.0)]
 Address = Annotated[tuple[str, int], BeforeValidator(address)]
--- a/pinward/terms.py
+++ b/pinward/terms.py
@@ -131,6 +131,7 @@
     release: int = 0
     zone: int = 0
     circle: int = 0  # of nodes that drop each other's repeats
+    cell: str = ""  # where customers are confined to cells, whose it is
     units: float = 1.0
     started: float = 0.0
     ready: bool = False
@@ -156,6 +157,7 @@
     expiry: float
     key: str | None = None
     cost_hint: float | None = None
+    cells: tuple[str, ...] | None = None  # whose nodes it may use; None: all
     state: State = State.TAKEN
     taken: float = 0.0
     submissions: list[Submission] = field(default_factory=list)
