--- a/pinward/command/main.py
+++ b/pinward/command/main.py
@@ -64,12 +64,14 @@
 
 def run(words: list[str] | None = None) -> int:
     """Runs the command with these words, or those of the process; the exit status."""
+    from pinward.command.cells import cells
     from pinward.command.keys import keys
     from pinward.command.lead import lead
 
     logs.start()
     pinward.add_command(lead)
     pinward.add_command(keys)
+    pinward.add_command(cells)
     try:
         done: Any = pinward.main(args=words, prog_name="pinward", standalone_mode=False)
     except click.exceptions.Exit as end:
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
+import contextlib
+import io
+import json
+import tempfile
 import unittest
 from collections import Counter
 from dataclasses import replace
+from pathlib import Path
 from random import Random
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from pinward.cells import measure
 from pinward.cells.atlas import Atlas, Chart, MapError, Move, Shift, Step, changed
 from pinward.cells.limits import Allowance, Limits
 from pinward.cells.moves import Mover, Pace, Stage
 from pinward.cells.placement import Machine, deal, pick, rank, shared_by_chance, spread_load, units_of
+from pinward.command.main import run
 from pinward.terms import Kind
 from tests.trace import LOOK, Play
 
@@ -362,3 +369,42 @@
         for cell in ("c0", "c1"):
             self.assertGreater(sent[cell, 2], 10)
             self.assertLess(sent[cell, 2], 90)
+
+
+class Commands(unittest.TestCase):
+    def run_it(self, *words: str) -> tuple[int, str]:
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(out):
+            status = run(["cells", *words])
+        return status, out.getvalue()
+
+    def test_a_plan_is_printed_written_once_and_checked(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            where = Path(folder)
+            (where / "cells.csv").write_text("cell,capacity\nc1,10\nc2,10\nc3,5\n")
+            (where / "nodes.csv").write_text("node,zone\n" + "".join(f"n{n},z{n % 2}\n" for n in range(20)))
+            (where / "loads.csv").write_text("customer,load\nhuge,90\nt1,4\nt2,4\nt3,2\n")
+            words = [f"--{name}={where / name}.csv" for name in ("cells", "nodes", "loads")]
+            written = str(where / "map.json")
+            status, said = self.run_it("plan", *words, "--write", written)
+            self.assertEqual(status, 0, said)
+            self.assertIn("c1: 2 units, 8 nodes", said)
+            self.assertIn("huge: larger than 1 cells, spread over", said)
+            self.assertEqual(self.run_it("plan", *words, "--write", written)[0], 1)
+            self.assertEqual(self.run_it("check", written)[0], 0)
+            shown = json.loads(self.run_it("show", "--json", written)[1])
+            self.assertEqual([row["nodes"] for row in shown["cells"]], [8, 8, 4])
+            torn = Path(written).read_text().replace('"version": 1', '"version": 7')
+            Path(written).write_text(torn)
+            status, said = self.run_it("check", written)
+            self.assertEqual((status, "checksum" in said), (2, True), said)
+            (where / "loads.csv").write_text("customer,load\nt1,many\n")
+            status, said = self.run_it("plan", *words)
+            self.assertEqual((status, "loads.csv:2: load: must be a number" in said), (2, True), said)
+
+    def test_reach_and_moves_are_as_theory_says(self) -> None:
+        reached = measure.reach(8, 2, 3000, 1)
+        self.assertAlmostEqual(reached["whole"], reached["whole_by_theory"], delta=0.01)
+        moved = measure.moved(8, 500, 90, 1)
+        self.assertEqual(moved["a_cell_goes"]["customers"], moved["a_cell_goes"]["least_customers"])
+        self.assertLessEqual(moved["a_node_goes"]["nodes"], 1)
