--- a/pinward/lead/instance.py
+++ b/pinward/lead/instance.py
@@ -77,7 +77,7 @@
     # Running.
 
     def run(self, signals: socket.socket | None = None) -> int:
-        """Runs until SIGTERM's number comes on `signals`, or the disk fails; the exit status."""
+        """Runs until SIGTERM's or SIGINT's number comes on `signals`, or the disk fails; the exit status."""
         office, spawn = self.office, self.tasks.spawn
         told = office.keys
         keys = Keys(told.authority, told.certificate, told.key) if told is not None else None
@@ -539,7 +539,7 @@
                     self.note("keys-read", anew=self.peers.keys.renew())
                 except OSError as fault:
                     self.note("keys-faulty", why=str(fault))
-            if signal.SIGTERM in numbers or not numbers:
+            if signal.SIGTERM in numbers or signal.SIGINT in numbers or not numbers:
                 self.leave()
                 return
 
--- a/pinward/lead/peers.py
+++ b/pinward/lead/peers.py
@@ -28,6 +28,8 @@
 SEND_S = 5.0  # s within which a peer must take what is sent, or its connection ends
 RETRY_S = (0.05, 1.0)  # s between tries to connect, doubled from the first to the second
 CHECK_S = 10.0  # s without a word after which an inbound connection is taken for dead
+ALIVE_S = 3.0  # s after which one that has nothing to say says so: three may be lost
+ALIVE = frame(["alive"])
 
 
 class Sender:
@@ -104,11 +106,14 @@
                 link.send(data, tasks.now() + SEND_S)
                 self.sent_bytes += len(data)
                 continue
-            tasks.wait(inf, link.reads)
+            until = tasks.now() + ALIVE_S
+            tasks.wait(until, link.reads)
             if not self.queue and not self.ended:
                 link.fill()
                 if link.ended or link.inbox.used:
                     raise ConnectionError("the peer ended the connection")
+                if tasks.now() >= until:
+                    self.queue.append(ALIVE)
 
 
 def receive(tasks: Scheduler, link: Link, frames: Frames, until: float) -> Any | None:
@@ -203,7 +208,8 @@
                 thing = receive(self.tasks, link, frames, self.tasks.now() + CHECK_S)
                 if thing is None:
                     return
-                self.heard(name, thing)
+                if thing != ["alive"]:
+                    self.heard(name, thing)
         except (OSError, MalformedWordError, ValueError) as fault:
             if not link.closed or not name:
                 self.note("peer-broke", peer=name or "unknown", why=f"{type(fault).__name__}: {fault}")
--- a/tests/test_lead_core.py
+++ b/tests/test_lead_core.py
@@ -121,6 +121,21 @@
         self.commit(here, "after")
         here.check_end()
 
+    def test_all_die_and_one_disk_lost_its_last_write(self) -> None:
+        here, leader = self.led()
+        for n in range(3):
+            self.commit(here, f"d{n}")
+        for name in here.names:
+            here.kill(name)
+        victim = here.actors[leader.name]
+        victim.disk.kept.entries.pop()
+        for name in here.names:
+            here.start(name)
+        here.run(here.now + 5.0)
+        self.commit(here, "after")
+        self.assertEqual([name for *_, name, _ in here.applied], ["d0", "d1", "d2", "after"])
+        here.check_end()
+
     def test_no_majority_says_nothing_new(self) -> None:
         here, leader = self.led()
         for name in self.others(here, leader):
--- a/tests/test_lead_parts.py
+++ b/tests/test_lead_parts.py
@@ -16,6 +16,7 @@
 from pinward.lead.fence import Answer, Fence
 from pinward.lead.gates import Gates, GateTerms, Way
 from pinward.lead.ledger import RECENT_MOST, Act, Decision, Ledger, Placed, Standing
+from pinward.lead.peers import VERSION, Peers
 from pinward.lead.store import Acquaintances, Store, StoreError
 from pinward.lead.terms import Base, Entry, Members, Save, Sort, Word
 from pinward.lead.words import Frames, MalformedWordError, frame, plain_word, word_of
@@ -304,6 +305,25 @@
                 word_of(wrong)
 
 
+class Greetings(unittest.TestCase):
+    def test_who_is_let_in(self) -> None:
+        peers = object.__new__(Peers)
+        peers.installation, peers.name, peers.senders = "north", "a", {"b": None}  # type: ignore[dict-item]
+        peers.founding, peers.meet = {"place": 0}, lambda name, birth: birth == "disk"
+        good = ["pinward", VERSION, "north", "b", "a", "disk", {"place": 0}]
+        self.assertIsNone(peers.objection(good, {"b"}))
+        self.assertIsNone(peers.objection([*good[:6], None], None))  # one that joins founded nothing
+        for place, wrong, why in (
+            (0, "other", "no hello"), (1, VERSION + 1, "words of version"), (2, "south", "meant for"),
+            (4, "c", "meant for"), (3, "stranger", "no member"), (6, {"place": 1}, "other members"),
+            (5, "emptied", "another disk"),
+        ):  # fmt: skip
+            said = peers.objection([*good[:place], wrong, *good[place + 1 :]], {"b", "stranger"})
+            self.assertIn(why, said or "")
+        self.assertIn("certificate is for c", peers.objection(good, {"c"}) or "")
+        self.assertIn("no hello", peers.objection("x", None) or "")
+
+
 class Explored(unittest.TestCase):
     def test_planted_errors_are_found(self) -> None:
         for plant, said in (("vote", "lead in epoch"), ("lease", "may act at the same time"),
--- a/tests/test_lead_whole.py
+++ b/tests/test_lead_whole.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import socket
 import subprocess
 import sys
@@ -14,6 +15,7 @@
 from typing import Any
 
 from pinward.lead import keys
+from pinward.lead.peers import CHECK_S
 from pinward.net.platform import Platform
 from pinward.net.scheduler import Scheduler
 from pinward.terms import Kind, Phase, Product, Release, Reply, Verdict
@@ -258,6 +260,14 @@
         self.decide(id="after", act="drain", node="n")
         self.await_applied(201)
 
+    def test_idle_connections_stay_up(self) -> None:
+        names = self.three()
+        self.assertTrue(until(lambda: all(self.log(name).count('"peer-up"') >= 2 for name in names), 5.0))
+        time.sleep(CHECK_S + 1.0)
+        for name in names:
+            self.assertNotIn("nothing comes", self.log(name))
+            self.assertEqual(self.log(name).count('"peer-up"'), 2, self.log(name))
+
     def test_strangers_and_expired_certificates_are_refused(self) -> None:
         names = self.three()
         stranger = keys.make_authority(self.folder / "other", 3600.0)
@@ -288,7 +298,8 @@
         self.decide(id="d2", act="drain", node="n2")
         self.assertTrue(until(lambda: [r.get("id") for r in rows(record)][-1:] == ["d2"], 8.0))
         self.assertEqual([r["id"] for r in rows(record) if r["what"] == "apply"], ["d1", "d2"])
-        self.processes[heir].end()
+        self.processes[heir].signal(signal.SIGINT)  # as Ctrl-C
+        self.assertTrue(until(lambda: not self.processes[heir].alive, 5.0))
         self.assertIn('"event":"leaving"', self.log(heir))
         self.assertIsNotNone(self.leader())
 
