--- a/pinward/command/cells.py
+++ b/pinward/command/cells.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import csv
+import sys
 from collections import Counter
 from pathlib import Path
 
@@ -150,3 +151,23 @@
     found = figures(customers, nodes, seed, click.echo)
     if into is not None:
         into.write_bytes(orjson.dumps(found, option=orjson.OPT_INDENT_2))
+
+
+@cells.command()
+@click.option("--seeds", type=click.IntRange(1), default=1, show_default=True)
+@click.option("--first", type=click.IntRange(0), default=1, show_default=True, help="the first seed")
+@click.option("--seconds", type=click.FloatRange(1.0), default=8.0, show_default=True, help="of each play")
+@click.option("--json", "into", type=click.Path(path_type=Path), help="write the figures to this file")
+def trial(seeds: int, first: int, seconds: float, into: Path | None) -> int:
+    """Plants a bad customer before real fronts on loopback, with cells and without, and counts its harm."""
+    try:
+        from standin.cells_trial import play_all
+    except ImportError:
+        raise NotHeldError("its stand-ins are in the repository only; run it there") from None
+    figures = play_all(range(first, first + seeds), seconds, sys.stderr)
+    if into is not None:
+        into.write_bytes(orjson.dumps(figures, option=orjson.OPT_INDENT_2))
+    for name, value in figures.items():
+        if name != "runs":
+            click.echo(f"{name.replace('_', ' ')}: {value}")
+    return 1 if figures["without_an_answer"] or figures["effects_twice"] else 0
--- a/tests/test_cells_front.py
+++ b/tests/test_cells_front.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import signal
 import tempfile
 import time
+import unittest
 from dataclasses import replace
 from pathlib import Path
 from unittest import mock
 
 from pinward.cells.atlas import Chart, Move, Step, changed
+from standin.cells_trial import PLANTS, play, usual
 from tests.test_front import Whole as Fronts
 from tests.test_front import ask, look
 
@@ -101,4 +104,15 @@
     test_a_front = test_bad_clients = test_clients_that_stay = test_new_configuration = None  # type: ignore
 
 
+
+class Planted(unittest.TestCase):
+    def test_a_customer_that_crashes_nodes_harms_its_own_cell_alone(self) -> None:
+        planted = [PLANTS["crash"] if load.customer == "t0-0" else load for load in usual()]
+        seen = asyncio.run(play(planted, True, 5, 3.0, "127.96"))
+        self.assertEqual((seen["no_answer"], seen["twice"]), (0, 0), seen)
+        self.assertEqual(seen["answers"], seen["asked"])
+        self.assertGreater(seen["others_in_time"], 0.95)
+        self.assertLess(seen["own_cell_in_time"], seen["others_in_time"])
+
+
 del Fronts
