--- a/pinward/lead/model.py
+++ b/pinward/lead/model.py
@@ -154,7 +154,10 @@
     def do(self, world: World, name: str, what: Any, loses: bool = False) -> None:
         """One call of a core, with its saves done before anything else, or lost with a restart."""
         core = world.cores[name]
+        before = core.epoch, core.committed
         what(core)
+        if core.epoch < before[0] or core.committed < before[1]:
+            self.broken = f"{name} falls from {before} to {(core.epoch, core.committed)}"
         while core.sends or core.saves:
             sends, core.sends = core.sends, []
             for peer, word in sends:
@@ -202,6 +205,8 @@
         if world.fence.judge(epoch, place) is Answer.APPLY:
             if world.applied and epoch < world.applied[-1][0]:
                 self.broken = f"epoch {epoch} applied after epoch {world.applied[-1][0]}"
+            if place != len(world.applied) + 1:
+                self.broken = f"place {place} applied after {len(world.applied)}"
             world.applied = (*world.applied, (epoch, place))
 
     def greet(self, world: World, name: str) -> None:
