--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -18,9 +19,10 @@
         heard: list[bytes] = []
 
         async def listener(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            while line := await reader.readline():
-                heard.append(line.strip())
-                writer.write(b"ok\n")
+            with contextlib.suppress(OSError, asyncio.CancelledError):
+                while line := await reader.readline():
+                    heard.append(line.strip())
+                    writer.write(b"ok\n")
             writer.close()
 
         async def whole() -> None:
@@ -34,6 +36,7 @@
             finally:
                 server.close()
                 await net.close()
+                await asyncio.sleep(0.05)  # until the listener has closed its side
 
         asyncio.run(whole())
         return heard
