The cost of cells a txn in one run; the toy platform gives signs of life

Change: cells trial plays nobody bad with cells on and off and gives the ratio; the toy writes a sign of life each second.

--- a/example/toy.py
+++ b/example/toy.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import socketserver
@@ -88,6 +89,15 @@
             watch = line.split() == [b"WATCH"]
             news = b"OK\r\n* ROLLOUT %d 2 released 1 99000\r\n" % self.server.release
             self.wfile.write(news if watch else b"ERR STALE\r\n")
+            if watch:
+                threading.Thread(target=self.live, daemon=True).start()
+
+    def live(self) -> None:
+        """A sign of life every second, until the front leaves."""
+        with contextlib.suppress(OSError, ValueError):
+            while True:
+                time.sleep(1.0)
+                self.wfile.write(b"*\r\n")
 
 
 def start() -> list[socketserver.TCPServer]:
--- a/standin/cells_trial.py
+++ b/standin/cells_trial.py
@@ -82,7 +82,9 @@
             where = [(f"{net}.2.{1 + number}", 9000) for number in range(FRONTS)]
             await asyncio.gather(*(ready(place) for place in where))
             clients = Clients(where, seed, TIMEOUT_S)
+            cpu_s = -sum(front.cpu_s() for front in fronts)
             await clients.run(loads, seconds)
+            cpu_s += sum(front.cpu_s() for front in fronts)
             await clients.close()
         finally:
             for front in fronts:
@@ -92,7 +94,7 @@
     return {
         "asked": clients.asked, "answers": len(clients.answers),
         "no_answer": sum(answer.status == 0 for answer in clients.answers),
-        "effects": len(fleet.effects), "twice": fleet.twice(MEMORY_S),
+        "cpu_s": cpu_s, "effects": len(fleet.effects), "twice": fleet.twice(MEMORY_S),
         "others_in_time": round(clients.in_time(others, SLA_S), 4),
         "own_cell_in_time": round(clients.in_time({"t0-1"}, SLA_S), 4),
     }  # fmt: skip
@@ -118,9 +120,16 @@
 
 
 def play_all(seeds: Iterable[int], seconds: float, out: TextIO) -> dict[str, Any]:
-    """All plants for all seeds, each beside the same without it and without cells."""
+    """All plants for all seeds, each beside the same without it and without cells; and what cells cost."""
     runs: list[dict[str, Any]] = []
+    ratios: list[float] = []
     for seed in seeds:
+        cpu = []
+        for cells in (True, False):
+            seen = asyncio.run(play(usual(), cells, seed, seconds, f"127.{58 + cells}"))
+            cpu.append(seen["cpu_s"] / max(1, seen["asked"]))
+        ratios.append(round(cpu[0] / cpu[1], 3))
+        print(f"seed {seed}: CPU a txn with cells {ratios[-1]} times that without", file=out, flush=True)
         for plant, bad in PLANTS.items():
             planted = [bad if load.customer == bad.customer else load for load in usual()]
             run: dict[str, Any] = {"seed": seed, "plant": plant}
@@ -143,6 +152,7 @@
         "without_an_answer": sum(play["no_answer"] for play in kept),
         "effects_twice": sum(play["twice"] for play in kept),
         "effects_twice_without_cells": sum(run["no_cells"]["twice"] for run in runs),
+        "cpu_a_txn_ratios": ratios,
         "most_harm_with_cells": max(run["harm_with_cells"] for run in runs),
         "most_harm_without": max(run["harm_without"] for run in runs),
         "runs": runs,
--- a/standin/processes.py
+++ b/standin/processes.py
@@ -62,6 +62,15 @@
             self.kill()
             return None
 
+    def cpu_s(self) -> float:
+        """Seconds of processor time taken so far, 0.0 where the process is gone."""
+        try:
+            told = Path(f"/proc/{self.child.pid if self.child else 0}/stat").read_text()
+        except OSError:
+            return 0.0
+        fields = told.rpartition(")")[2].split()  # from the third on
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def memory_kib(self) -> int:
         """Resident memory, 0 where the process is gone."""
         try:
