A save is applied by one piece everywhere; dead fields gone; proposals are noted once

Cause: on a second reading a Save was applied to what is kept in three places (store, simulated disks, model), two accept loops and two ways to note a proposal stood side by side, addresses were parsed twice, and some counters, constants and fields were read by nobody. Identities of proposals that were never committed, and empty lists of waiters, stayed for ever. Change: Kept.take, accepted, Instance.propose and config.address serve all; rig and keep serve the commands; what was proposed is forgotten when its time is over; instances draw from their seed and name. Store and replay keep their checks, now in Kept.take.

--- a/pinward/cells/door.py
+++ b/pinward/cells/door.py
@@ -12,7 +12,7 @@
 import orjson
 from pydantic import Field
 
-from pinward.cells.atlas import Atlas, Chart, MapError, Step
+from pinward.cells.atlas import Atlas, Chart, MapError
 from pinward.cells.limits import MOST_AWAY_S, Allowance, Limits
 from pinward.settings import Block, Share, read
 from pinward.terms import Kind, Node
@@ -70,7 +70,6 @@
             {block.name: block.allowance for block in told.customer},
             told.usual.allowance if told.usual else None,
         )  # fmt: skip
-        self.held = self.over = 0
 
     def renew(self) -> int:
         """Reads the map anew; its version. Raises MapError and stays with the one in force."""
@@ -91,12 +90,10 @@
         client should stay away. One that is admitted must be told of by `ended`."""
         cells = self.atlas.homes(customer, kind, key, drawn, repeat)
         if not cells:
-            self.held += 1
             return (), "", MOST_AWAY_S
         cell = cells[int(drawn * len(cells)) % len(cells)]
         away = self.limits.admit(now, customer, cell)
         if away:
-            self.over += 1
             return (), "", away
         return cells, cell, 0.0
 
@@ -107,11 +104,6 @@
     def moving(self) -> int:
         return len(self.atlas.chart.moves) + (self.atlas.chart.shift is not None)
 
-    @property
-    def holding(self) -> bool:
-        moves = self.atlas.chart.moves.values()
-        return any(move.step is Step.HOLD for move in moves)
-
 
 def open_door(path: str, now: float) -> Door:
     """The door that a settings file tells of; raises FaultyFileError or MapError."""
--- a/pinward/cells/placement.py
+++ b/pinward/cells/placement.py
@@ -75,7 +75,6 @@
 
     name: str
     zone: str
-    units: float = 1.0
 
 
 def deal(
--- a/pinward/command/cells.py
+++ b/pinward/command/cells.py
@@ -13,7 +13,7 @@
 from pinward.cells.atlas import Chart, MapError
 from pinward.cells.door import read_map
 from pinward.cells.placement import Machine, deal, spread_load, units_of
-from pinward.command.main import NotHeldError
+from pinward.command.main import NotHeldError, keep, rig
 
 MAP = click.argument("map_file", metavar="MAP", type=click.Path(path_type=Path))
 JSON = click.option("--json", "as_json", is_flag=True, help="print JSON, for a program")
@@ -148,9 +148,7 @@
     """Measures placement at size against theory, and the cost of a look-up as sizes grow."""
     from pinward.cells.measure import measure as figures
 
-    found = figures(customers, nodes, seed, click.echo)
-    if into is not None:
-        into.write_bytes(orjson.dumps(found, option=orjson.OPT_INDENT_2))
+    keep(figures(customers, nodes, seed, click.echo), into)
 
 
 @cells.command()
@@ -160,13 +158,8 @@
 @click.option("--json", "into", type=click.Path(path_type=Path), help="write the figures to this file")
 def trial(seeds: int, first: int, seconds: float, into: Path | None) -> int:
     """Plants a bad customer before real fronts on loopback, with cells and without, and counts its harm."""
-    try:
-        from standin.cells_trial import play_all
-    except ImportError:
-        raise NotHeldError("its stand-ins are in the repository only; run it there") from None
-    figures = play_all(range(first, first + seeds), seconds, sys.stderr)
-    if into is not None:
-        into.write_bytes(orjson.dumps(figures, option=orjson.OPT_INDENT_2))
+    figures = rig("cells_trial").play_all(range(first, first + seeds), seconds, sys.stderr)
+    keep(figures, into)
     for name, value in figures.items():
         if name != "runs":
             click.echo(f"{name.replace('_', ' ')}: {value}")
--- a/pinward/command/lead.py
+++ b/pinward/command/lead.py
@@ -12,7 +12,7 @@
 import orjson
 
 from pinward import logs
-from pinward.command.main import NotHeldError
+from pinward.command.main import NotHeldError, keep, rig
 from pinward.lead.ledger import Act, Ledger
 from pinward.lead.office import LeadFile
 from pinward.lead.store import Store, StoreError
@@ -213,13 +213,8 @@
 @click.option("--json", "into", type=click.Path(path_type=Path), help="write the figures to this file")
 def trial(seeds: int, first: int, instances: int, seconds: float, into: Path | None) -> int:
     """Runs real instances on loopback under pauses, cuts, kills and restarts, and checks what was applied."""
-    try:
-        from standin.lead_trial import play_all
-    except ImportError:
-        raise NotHeldError("its stand-ins are in the repository only; run it there") from None
-    figures = play_all(range(first, first + seeds), instances, seconds, sys.stderr)
-    if into is not None:
-        into.write_bytes(orjson.dumps(figures, option=orjson.OPT_INDENT_2))
+    figures = rig("lead_trial").play_all(range(first, first + seeds), instances, seconds, sys.stderr)
+    keep(figures, into)
     show({name: value for name, value in figures.items() if name != "runs"}, as_json=False)
     return 1 if any(figures["broken"].values()) else 0
 
@@ -230,14 +225,8 @@
 @click.option("--json", "into", type=click.Path(path_type=Path), help="write the figures to this file")
 def scale(sizes: str, listeners: int, into: Path | None) -> None:
     """Measures gaps and words at several sizes, and how late decisions reach many listeners."""
-    try:
-        from standin.lead_scale import measure
-    except ImportError:
-        raise NotHeldError("its stand-ins are in the repository only; run it there") from None
     try:
         wanted = [int(size) for size in sizes.split(",")]
     except ValueError:
         raise click.UsageError(f"sizes are whole numbers with commas, not {sizes!r}") from None
-    figures = measure(wanted, listeners, sys.stdout)
-    if into is not None:
-        into.write_bytes(orjson.dumps(figures, option=orjson.OPT_INDENT_2))
+    keep(rig("lead_scale").measure(wanted, listeners, sys.stdout), into)
--- a/pinward/command/main.py
+++ b/pinward/command/main.py
@@ -4,11 +4,13 @@
 
 import sys
 import tomllib
-from importlib import metadata
+from importlib import import_module, metadata
 from pathlib import Path
+from types import ModuleType
 from typing import Any
 
 import click
+import orjson
 
 from pinward import logs
 from pinward.settings import FaultyFileError
@@ -36,6 +38,20 @@
     """What was asked for did not hold: exit 1."""
 
 
+def rig(name: str) -> ModuleType:
+    """A module of the stand-ins; raises NotHeldError where this runs without the repository."""
+    try:
+        return import_module(f"standin.{name}")
+    except ImportError:
+        raise NotHeldError("its stand-ins are in the repository only; run it there") from None
+
+
+def keep(figures: object, into: Path | None) -> None:
+    """Writes figures to the file that --json names, if any."""
+    if into is not None:
+        into.write_bytes(orjson.dumps(figures, option=orjson.OPT_INDENT_2))
+
+
 @click.group(epilog=EXAMPLES, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(version(), prog_name="pinward")
 def pinward() -> None:
--- a/pinward/lead/core.py
+++ b/pinward/lead/core.py
@@ -41,7 +41,7 @@
 
 
 class Core:
-    def __init__(self, name: str, kept: Kept, pace: Pace, seed: int, now: float) -> None:
+    def __init__(self, name: str, kept: Kept, pace: Pace, seed: int | str, now: float) -> None:
         self.name, self.pace, self.chance = name, pace, Random(seed)
         self.epoch, self.vote = kept.epoch, kept.vote
         self.base, self.entries = kept.base, list(kept.entries)
--- a/pinward/lead/fence.py
+++ b/pinward/lead/fence.py
@@ -35,15 +35,10 @@
 
     def judge(self, epoch: int, place: int) -> Answer:
         """A leader of `epoch` says what stands at `place`."""
-        if epoch < self.epoch:
-            return Answer.STALE
-        self.epoch = epoch
-        if place <= self.place:
-            return Answer.KNOWN
-        if place > self.place + 1:
+        if epoch >= self.epoch and place > self.place + 1:
+            self.epoch = epoch
             return Answer.GAP
-        self.place = place
-        return Answer.APPLY
+        return self.whole(epoch, place)
 
     def whole(self, epoch: int, place: int) -> Answer:
         """A leader tells the whole state as it stands after `place`."""
--- a/pinward/lead/instance.py
+++ b/pinward/lead/instance.py
@@ -20,7 +20,7 @@
 from pinward.lead.gates import Gates
 from pinward.lead.ledger import Act, Decision, Ledger, Placed
 from pinward.lead.office import LeadFile
-from pinward.lead.peers import Peers
+from pinward.lead.peers import Peers, accepted
 from pinward.lead.store import Acquaintances, Store, StoreError
 from pinward.lead.teller import RING_BYTES, Leadership, Teller, read_line
 from pinward.lead.terms import Entry, Members, Role, Sort
@@ -53,7 +53,7 @@
         self.tasks.failed = self.failed
         kept = store.kept
         assert kept is not None
-        seed = office.seed ^ sum(ord(letter) << 8 * (place % 6) for place, letter in enumerate(office.name))
+        seed = f"{office.seed} {office.name}"
         self.core = Core(office.name, kept, office.pace, seed, self.tasks.now())
         self.known = Acquaintances(store.folder)
         self.lead = Leadership(
@@ -72,7 +72,6 @@
         self.tellers: list[Teller] = []
         self.watchers: dict[Link, Any] = {}
         self.voted: set[Link] = set()  # of fronts without a name
-        self.desk_links = self.control_links = 0
 
     # Running.
 
@@ -91,8 +90,8 @@
             self.tellers.append(teller)
             spawn(teller.run, applier.address)
         if office.desk is not None:
-            spawn(self.accept, listen(office.desk), self.serve_front)
-        spawn(self.accept, self.control_socket(), self.serve_command)
+            spawn(self.accept, listen(office.desk), self.serve_front, DESK_MOST, DESK_RING_BYTES)
+        spawn(self.accept, self.control_socket(), self.serve_command, CONTROL_MOST, RING_BYTES)
         if signals is not None:
             spawn(self.heed, signals)
         self.ticker = spawn(self.tick)
@@ -260,13 +259,18 @@
         stage = here.stage + 1 if act is Act.PROMOTE else here.stage
         named = act is not Act.HOLD  # a stage may be held again after it was promoted past a hold
         name = f"r{here.release}-{act.value}" + (f"-{stage}" if named else f"-{stage}-{self.ledger.place}")
-        if self.proposed.get(name, -inf) > now or (named and name in self.ledger.names):
-            return
-        self.proposed[name] = now + ANSWER_S
-        self.propose(Decision(name, act, here.release, stage, by="votes"))
+        if not (named and name in self.ledger.names):
+            self.propose(Decision(name, act, here.release, stage, by="votes"))
 
     def propose(self, decision: Decision) -> bool:
-        taken = self.core.propose(self.tasks.now(), Sort.DECISION, decision.plain()) is not None
+        """Puts a decision into the log, unless it is on its way; False where there is no room for it."""
+        now = self.tasks.now()
+        while self.proposed and next(iter(self.proposed.values())) <= now:  # the oldest stands first
+            del self.proposed[next(iter(self.proposed))]
+        if decision.name in self.proposed:
+            return True
+        self.proposed[decision.name] = now + ANSWER_S
+        taken = self.core.propose(now, Sort.DECISION, decision.plain()) is not None
         self.carry_out()
         return taken
 
@@ -310,32 +314,28 @@
 
     # The desk: fronts that watch and vote in the platform's lines, and listeners that apply.
 
-    def accept(self, listener: socket.socket, serve: Callable[[Link], None]) -> None:
+    def accept(
+        self, listener: socket.socket, serve: Callable[[Link], None], most: int, ring_bytes: int
+    ) -> None:
+        links: set[Link] = set()
         while True:
-            self.tasks.wait(inf, (listener.fileno(), READ))
-            try:
-                sock, _ = listener.accept()
-            except OSError:
-                self.tasks.wait(self.tasks.now() + 0.01)  # gone again, or no descriptor left
+            sock = accepted(self.tasks, listener)
+            if len(links) >= most:
+                sock.close()
                 continue
-            self.tasks.spawn(self.one, sock, serve)
+            link = Link(self.tasks, sock, ring_bytes)
+            links.add(link)
+            self.tasks.spawn(self.one, link, serve, links)
 
-    def one(self, sock: socket.socket, serve: Callable[[Link], None]) -> None:
-        front = serve == self.serve_front
-        if self.desk_links >= DESK_MOST if front else self.control_links >= CONTROL_MOST:
-            sock.close()
-            return
-        link = Link(self.tasks, sock, DESK_RING_BYTES if front else RING_BYTES)
-        self.desk_links += front
-        self.control_links += not front
+    def one(self, link: Link, serve: Callable[[Link], None], links: set[Link]) -> None:
         try:
             serve(link)
-        except (OSError, ValueError) as fault:
-            if not isinstance(fault, OSError):
-                self.note("malformed", why=str(fault))
+        except OSError:
+            pass  # the peer broke the connection
+        except ValueError as fault:
+            self.note("malformed", why=str(fault))
         finally:
-            self.desk_links -= front
-            self.control_links -= not front
+            links.discard(link)
             self.watchers.pop(link, None)
             link.close()
 
@@ -516,16 +516,16 @@
         waiter: list[Any] = [self.tasks.current(), None]
         self.waiting.setdefault(decision.name, []).append(waiter)
         try:
-            if self.proposed.get(decision.name, -inf) < now:
-                self.proposed[decision.name] = now + ANSWER_S
-                if not self.propose(decision):
-                    return {"error": "too many decisions are open; again in a moment"}
+            if not self.propose(decision):
+                return {"error": "too many decisions are open; again in a moment"}
             until = self.tasks.now() + ANSWER_S
             while waiter[1] is None and self.tasks.now() < until:
                 self.tasks.wait(until)
         finally:
-            if waiter in self.waiting.get(decision.name, ()):
-                self.waiting[decision.name].remove(waiter)
+            if waiter in (others := self.waiting.get(decision.name, [])):
+                others.remove(waiter)
+                if not others:
+                    del self.waiting[decision.name]
         return waiter[1] or {"error": "not committed yet; ask again with the same identity", "unknown": True}
 
     # The end.
--- a/pinward/lead/model.py
+++ b/pinward/lead/model.py
@@ -68,7 +68,7 @@
     committed: dict[int, Entry] = field(default_factory=dict)
 
     def copy(self) -> World:
-        disks = {n: Kept(d.epoch, d.vote, d.base, list(d.entries)) for n, d in self.disks.items()}
+        disks = {name: disk.copy() for name, disk in self.disks.items()}
         cores = {name: copied(core) for name, core in self.cores.items()}
         return World(
             self.names, cores, disks, replace(self.left), self.now, dict(self.ways), self.acting,
@@ -119,9 +119,7 @@
                     self.deliver(world, way)
 
     def start(self, world: World, name: str) -> None:
-        disk = world.disks[name]
-        kept = Kept(disk.epoch, disk.vote, disk.base, list(disk.entries))
-        world.cores[name] = self.kind(name, kept, PACE, 0, world.now)
+        world.cores[name] = self.kind(name, world.disks[name].copy(), PACE, 0, world.now)
 
     def frozen(self, world: World) -> int:
         """All that matters of a state; times count from now, and what is long over is all the same."""
@@ -180,13 +178,9 @@
         self.check(world)
 
     def save(self, world: World, name: str, save: Save) -> None:
-        disk = world.disks[name]
-        if save.promise is not None:
-            vote = None if self.plant == "vote" and save.promise[1] != name else save.promise[1]
-            disk.epoch, disk.vote = save.promise[0], vote
-        if save.entries:
-            first = save.entries[0].index
-            disk.entries = [e for e in disk.entries if e.index < first] + list(save.entries)
+        if self.plant == "vote" and save.promise is not None and save.promise[1] != name:
+            save = save._replace(promise=(save.promise[0], None))
+        world.disks[name].take(save)
 
     def check(self, world: World) -> None:
         acting = [name for name in self.names if world.cores[name].may_act(world.now)]
--- a/pinward/lead/peers.py
+++ b/pinward/lead/peers.py
@@ -38,7 +38,7 @@
     def __init__(self, peers: Peers, name: str, where: tuple[str, int]) -> None:
         self.peers, self.name, self.where = peers, name, where
         self.queue: deque[bytes] = deque(maxlen=QUEUE_MOST)
-        self.dropped, self.sent_bytes = 0, 0
+        self.dropped = 0
         self.ended, self.up = False, False
         self.why = "not tried yet"
         self.task: Task = peers.tasks.spawn(self.run)
@@ -102,9 +102,7 @@
         tasks = self.peers.tasks
         while not self.ended:
             if self.queue:
-                data = self.queue.popleft()
-                link.send(data, tasks.now() + SEND_S)
-                self.sent_bytes += len(data)
+                link.send(self.queue.popleft(), tasks.now() + SEND_S)
                 continue
             until = tasks.now() + ALIVE_S
             tasks.wait(until, link.reads)
@@ -132,6 +130,16 @@
         tasks.wait(until, (link.sock.fileno(), READ))
 
 
+def accepted(tasks: Scheduler, listener: socket.socket) -> socket.socket:
+    """The next connection that a listener takes."""
+    while True:
+        tasks.wait(inf, (listener.fileno(), READ))
+        try:
+            return listener.accept()[0]
+        except OSError:
+            tasks.wait(tasks.now() + 0.01)  # gone again, or no descriptor left
+
+
 def end(link: Link) -> None:
     """Ends a connection that a task reads from: the task sees the end and closes it, so no descriptor is
     closed under a task that waits for it."""
@@ -177,12 +185,7 @@
 
     def accept(self) -> None:
         while not self.ended:
-            self.tasks.wait(inf, (self.listener.fileno(), READ))
-            try:
-                sock, _ = self.listener.accept()
-            except OSError:
-                self.tasks.wait(self.tasks.now() + 0.01)  # gone again, or no descriptor left
-                continue
+            sock = accepted(self.tasks, self.listener)
             if len(self.inbound) >= INBOUND_MOST:
                 sock.close()
                 continue
--- a/pinward/lead/simulated.py
+++ b/pinward/lead/simulated.py
@@ -28,37 +28,12 @@
     """Something happened that may never happen."""
 
 
-@dataclass
-class Disk:
-    """What an instance has saved, as a `Store` would give it back."""
-
-    kept: Kept
-
-    def take(self, save: Save) -> None:
-        kept = self.kept
-        if save.promise is not None:
-            kept.epoch, kept.vote = save.promise
-        if save.base is not None:
-            keeps = kept.base.index <= save.base.index and any(
-                e.index == save.base.index and e.epoch == save.base.epoch for e in kept.entries
-            )
-            kept.entries = [e for e in kept.entries if keeps and e.index > save.base.index]
-            kept.base = save.base
-        if save.entries:
-            first = save.entries[0].index
-            kept.entries = [e for e in kept.entries if e.index < first] + list(save.entries)
-
-    def copy(self) -> Disk:
-        kept = self.kept
-        return Disk(Kept(kept.epoch, kept.vote, kept.base, list(kept.entries)))
-
-
 @dataclass
 class Actor:
     """One simulated instance."""
 
     name: str
-    disk: Disk
+    disk: Kept  # what it has saved
     rate: float = 1.0  # of its clock, against true time
     offset: float = 0.0
     core: Core | None = None  # None while it is dead
@@ -92,7 +67,7 @@
         self.leaderless: list[tuple[float, float]] = []  # from, to
         self.quiet_since: float | None = 0.0
         for name in self.names:
-            self.actors[name] = Actor(name, Disk(Kept(0, None, Base(0, 0, self.members, None))))
+            self.actors[name] = Actor(name, Kept(0, None, Base(0, 0, self.members, None)))
             self.start(name)
 
     # What happens when.
@@ -111,7 +86,7 @@
 
     def start(self, name: str) -> None:
         actor = self.actors[name]
-        kept = actor.disk.copy().kept
+        kept = actor.disk.copy()
         actor.life += 1
         actor.paused_until = 0.0
         actor.waiting.clear()
--- a/pinward/lead/store.py
+++ b/pinward/lead/store.py
@@ -194,19 +194,10 @@
                 raise ValueError(f"written by another version, {version}")
             self.kept = Kept(epoch, vote, base_of(base))
             return
-        kept = self.kept
-        if kept is None:
+        if self.kept is None:
             raise ValueError("it does not begin with a state")
         promise, entries = things
-        if promise is not None:
-            if promise[0] < kept.epoch:
-                raise ValueError("an epoch falls")
-            kept.epoch, kept.vote = promise
-        if entries:
-            place = entries[0][1] - kept.base.index - 1
-            if not 0 <= place <= len(kept.entries):
-                raise ValueError("entries are missing")
-            kept.entries[place:] = map(entry_of, entries)
+        self.kept.take(Save(0, promise and tuple(promise), tuple(map(entry_of, entries)), None))
 
     # Saving.
 
@@ -215,18 +206,11 @@
         kept = self.kept
         assert kept is not None
         self.saves += 1
-        if save.base is not None:
-            place = save.base.index - kept.base.index
-            keeps = 0 < place <= len(kept.entries) and kept.entries[place - 1].epoch == save.base.epoch
-            kept.entries = kept.entries[place:] if keeps else []
-            kept.base = save.base
-        plain = [plain_entry(entry) for entry in save.entries]
-        record = ["save", save.promise, plain]
-        self.take(record)
+        kept.take(save)
         if save.base is not None:
             self.rewrite()
         else:
-            self.append(packed(record))
+            self.append(packed(["save", save.promise, [plain_entry(entry) for entry in save.entries]]))
 
     def append(self, data: bytes) -> None:
         assert self.file is not None
--- a/pinward/lead/teller.py
+++ b/pinward/lead/teller.py
@@ -23,7 +23,6 @@
 
 RING_BYTES = 64 * 1024  # a direction: many decisions fit
 LINE_MOST = 32 * 1024  # bytes of an answer
-WHOLE_MOST = 4 * 2**20  # bytes of a whole state told to one that is far behind
 ANSWER_S = 2.0  # s within which one that applies answers; its disk may be slow
 RETRY_S = 0.2  # s between tries: a decision is late by no more than this once it can be reached
 AHEAD_MOST = 64  # lines on their way to one that applies
@@ -80,7 +79,7 @@
 
     def __init__(self, lead: Leadership, name: str, trusted: bool = True) -> None:
         self.lead, self.name, self.trusted = lead, name, trusted
-        self.state, self.place, self.told = Told.AWAY, 0, 0
+        self.state, self.place = Told.AWAY, 0
         self.task: Task | None = None
         self.why = ""
 
@@ -156,7 +155,6 @@
         """Takes in an answer; False where nothing more is to be told on this connection."""
         if words[0] in ("OK", "KNOWN"):
             self.place = max(self.place, int(words[1]))
-            self.told += words[0] == "OK"
             return True
         if words[0] == "STALE":
             self.refused(words, epoch)
--- a/pinward/lead/terms.py
+++ b/pinward/lead/terms.py
@@ -106,6 +106,26 @@
     base: Base
     entries: list[Entry] = field(default_factory=list)
 
+    def copy(self) -> Kept:
+        return Kept(self.epoch, self.vote, self.base, list(self.entries))
+
+    def take(self, save: Save) -> None:
+        """Takes in a save, as every disk does, real or played; raises ValueError where it does not follow."""
+        if save.promise is not None:
+            if save.promise[0] < self.epoch:
+                raise ValueError("an epoch falls")
+            self.epoch, self.vote = save.promise
+        if save.base is not None:
+            place = save.base.index - self.base.index
+            keeps = 0 < place <= len(self.entries) and self.entries[place - 1].epoch == save.base.epoch
+            self.entries = self.entries[place:] if keeps else []
+            self.base = save.base
+        if save.entries:
+            place = save.entries[0].index - self.base.index - 1
+            if not 0 <= place <= len(self.entries):
+                raise ValueError("entries are missing")
+            self.entries[place:] = save.entries
+
 
 class Save(NamedTuple):
     """What must be on disk before `Core.saved` is called with its ticket; what is None stays as it is."""
--- a/pinward/settings/values.py
+++ b/pinward/settings/values.py
@@ -7,6 +7,8 @@
 
 from pydantic import BeforeValidator, Field
 
+from pinward import config
+
 TIMES = {"us": 1e-6, "ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}  # seconds
 SIZES = {"B": 1, "KiB": 2**10, "MiB": 2**20, "GiB": 2**30}  # bytes
 NUMBER = re.compile(r"(\d+(?:\.\d+)?)([A-Za-z]+)")
@@ -45,10 +47,10 @@
     """`host:port`, the host numeric, IPv6 in brackets."""
     if isinstance(text, tuple):
         return text
-    host, _, port = str(text).rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) <= 65535:
+    where = config.address(str(text))
+    if not where[1]:
         raise ValueError(f"must be host:port, not {text!r}")
-    return host.strip("[]"), int(port)
+    return where
 
 
 Seconds = Annotated[float, BeforeValidator(seconds)]
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -75,7 +75,6 @@
     workers: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(2))
     waiting: int = 0
     down_until: float = 0.0
-    took: int = 0
 
     async def handle(self, first: str, fields: dict[str, str], body: bytes) -> tuple[int, bytes, str] | None:
         if time.monotonic() < self.down_until:
@@ -93,7 +92,6 @@
             self.waiting -= 1
 
     async def work(self, first: str, fields: dict[str, str]) -> tuple[int, bytes, str] | None:
-        self.took += 1
         now, key = time.monotonic(), fields.get("idempotency-key")
         if "do=crash" in first:
             self.down_until = now + 2.0
--- a/standin/lead_trial.py
+++ b/standin/lead_trial.py
@@ -91,9 +91,7 @@
         self.figures = Figures(seed)
         self.processes: dict[str, Process] = {}
         self.promised: dict[str, int] = {}
-        self.asked = 0
         self.over = False
-        self.leaders: dict[str, Any] = {}
 
     def own(self, name: str) -> str:
         """The address that a process speaks from and listens at, behind its proxy."""
@@ -183,7 +181,6 @@
             node += 1
             name = f"s{self.seed}-c{caller}-{node}"
             act, target = "drain" if node % 2 else "fill", f"n{caller}-{(node - 1) // 2}"
-            self.asked += 1
             await asyncio.sleep(PAUSE_S)
             while not self.over:
                 instance = self.names[here % len(self.names)]
--- a/tests/test_lead_core.py
+++ b/tests/test_lead_core.py
@@ -128,7 +128,7 @@
         for name in here.names:
             here.kill(name)
         victim = here.actors[leader.name]
-        victim.disk.kept.entries.pop()
+        victim.disk.entries.pop()
         for name in here.names:
             here.start(name)
         here.run(here.now + 5.0)
