Fronts watch from the list they hold, ask a full registry less, take turns to vote

At fault: list_failed waits at most a quarter of the told time; Discovery.run asks for the whole list at each start; worse() takes one fault at a first look, product by product; ballot() votes as soon as it may, and takes back a vote that no longer counts; learn() counts each connection that breaks at once. Change: the first call watches from the revision held; after refusals the wait doubles up to the told time; a vote on waits for its turn within the time in which the platform counts a stage's votes; a released build's vote on is not taken back; faults are counted a node, as a likelihood ratio that holds at every look, against the same seconds.

--- a/pinward/figures.py
+++ b/pinward/figures.py
@@ -244,6 +244,28 @@
     return min(chances)
 
 
+def sureness(new: list[Sample], old: list[Sample], prior: float, floor: float, times: float) -> float:
+    """How many times likelier the faults in `new` are at a bad build than at `times` the share in `old`.
+
+    Kind by kind, all products together. A node counts once, however often it fails: one in trouble fails
+    again and again. It holds at every look: a build no worse reaches 1 / a by a chance of `a` at most: Ville.
+    """
+    most = 0.0
+    for kind in dict.fromkeys(s.result for s in new if s.fault):
+        nodes = len({s.node for s in new if s.result is kind})
+        others, theirs = sum(s.result is not kind for s in new), sum(s.result is kind for s in old)
+        share = min(0.5, max(floor, times * (theirs + 1) / len(old))) if theirs else floor
+        if nodes > share * (nodes + others):
+            most = max(most, likelier(nodes, nodes + others, share, prior))
+    return most
+
+
+def likelier(faults: int, total: int, share: float, prior: float) -> float:
+    """Of so many faults: their chance over all shares, drawn from Beta(1, `prior`), over that at `share`."""
+    bad = lgamma(faults + 1) + lgamma(total - faults + prior) - lgamma(total + 1 + prior) + log(prior)
+    return exp(min(700.0, bad - faults * log(share) - (total - faults) * log(1 - share)))
+
+
 def mean(values: Sequence[float], usual: float) -> float:
     """Quick, for the hot paths; `usual` where there are none."""
     return sum(values) / len(values) if values else usual
--- a/pinward/net/discovery.py
+++ b/pinward/net/discovery.py
@@ -26,11 +26,12 @@
 
     def __init__(
         self, tasks: Scheduler, where: tuple[str, int], size: int, hold_s: float, answer_s: float,
-        heard: Callable[[Told], None], lost: Callable[[str], None],
+        heard: Callable[[Told], None], lost: Callable[[str], None], rev: int | None = None,
     ) -> None:  # fmt: skip
         self.tasks, self.where, self.size = tasks, where, size
         self.hold_s, self.answer_s, self.heard, self.lost = hold_s, answer_s, heard, lost
-        self.rev: int | None = None
+        self.rev = rev  # known already: whole lists for all fronts at once are more than a registry can send
+        self.first = True
         self.asked = self.moved = False
         self.link: Link | None = None
         self.task = tasks.spawn(self.run)
@@ -69,7 +70,7 @@
 
     def call(self) -> Told:
         """One call, which waits at the agent for something newer than what is known."""
-        hold_s = 0.0 if self.rev is None else self.hold_s
+        hold_s = 0.0 if self.rev is None or self.first else self.hold_s  # nobody is served before the first
         until = self.tasks.now() + hold_s + self.answer_s
         if self.link is None:
             self.link = connect(self.tasks, self.where, self.size, until)
@@ -95,5 +96,5 @@
         if message.status != 200:
             raise ConnectionError(f"discovery answered {message.status}")
         told = decode_list(Sheet(orjson.loads(message.body), ""))
-        self.rev = told.rev
+        self.rev, self.first = told.rev, False
         return told
--- a/pinward/net/front.py
+++ b/pinward/net/front.py
@@ -68,7 +68,7 @@
             self.news(branch.news, None)
         self.discovery = Discovery(
             self.tasks, branch.discovery, branch.ring_bytes, terms.ask_within_s / 2, terms.ask_within_s / 4,
-            self.listed, self.list_lost,
+            self.listed, self.list_lost, branch.known.rev if branch.known.entries else None,
         )  # fmt: skip
         self.platform = Platform(
             self.tasks, branch.platform, branch.ring_bytes, branch.products, len(terms.stage_caps),
--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -15,7 +15,7 @@
 
 from pinward.figures import Record, Rests, Sample, Seat, Spell, Tally, Window
 from pinward.figures import faulty_chance, mean, paced, quicker, relative, surely, tail_chance
-from pinward.figures import together, trimmed
+from pinward.figures import sureness, together, trimmed
 from pinward.terms import Count, Group, Kind, Listing, Node, Phase, Product, Release, Reply, Result, State
 from pinward.terms import Submission, Terms, Txn, Verb, Verdict
 
@@ -31,6 +31,7 @@
 LEAST, LEAST_PER_S, LEAST_EVER = 20, 3.0, 4  # outcomes; the design's least, less each second, and at least
 FAULTS_LEAST, FAULTIER, STRIKES = 3, 2.0, 2  # two may be one bad second; times the earlier's; one vote's
 DOUBT, FAULT_FLOOR = 0.016, 0.005  # chance, over all fronts, of blaming a build; share put down to chance
+BAD_PRIOR = 4.0  # a bad build's share of faults may be any; so many times likelier near nought than all
 TRIM_PART, SICK, SPREAD_LEAST = 0.34, 0.3, 2  # of nodes; faulty part of a sick one; faults left elsewhere
 SLOWER, SLOW_LEAST = 2.2, 12  # times the earlier build's: "considerably slower"; outcomes it takes to tell
 SCOUT_S, SCOUT_MOST, SCOUTS = 5.0, 0.5, 4  # s to the least sample, or few judge for all; their share; number
@@ -47,6 +48,7 @@
 DRAWS, COLD_DRAWS = 6, 3  # draws to find two open nodes, enough where one in three is; and a cold one
 RATE_S, SPENT_OF = 3.0, 8  # s, outcomes; what rates are counted over; what tells slow answers from one
 OVER, EDGE_S = 1.3, 0.011  # times a customer's share: over it; s, two batches' slack where a rule counts
+ASK_STEPS = 4  # failures, each with twice the wait, until the list is asked for once in the time told for it
 # The front's own connections, for its network code.
 CLIENTS_OF, NODE_IDLE = 0.6, 0.5  # part for clients, the rest for nodes; of the time when a node closes
 REST_FAULTY, REST_GROWS = 0.2, 1.25  # share broken after so long a rest, to rest less; times more each change
@@ -70,7 +72,7 @@
 class Judge:
     def __init__(self, terms: Terms, seed: int, now: float) -> None:
         self.chance, self.started, self.zone, self.fronts = Random(seed), now, terms.zone, terms.fronts
-        self.must_ask, self.ask_most_s, self.watching = terms.must_ask, terms.ask_within_s / 4, False
+        self.must_ask, self.ask_most_s, self.watching = terms.must_ask, terms.ask_within_s, False
         self.asked, self.ask_at, self.wake_at = 0, -inf, now
         self.error: float | None = None  # the loop's last
         self.cold, self.cold_load = (terms.cold_from, terms.cold_s), COLD_PART * terms.fall_multiple
@@ -83,6 +85,9 @@
         # Votes that move a build share sample and doubt: many fronts judge from one fault. Harm: a sick node.
         votes = max(1, terms.back_votes)
         self.least_ever, self.slow_least = LEAST_EVER // on_votes, max(LEAST_EVER, LEAST // votes)
+        self.least = LEAST / on_votes if on_votes > LEAST_EVER else LEAST
+        turn_s = on_votes / max(1.0, terms.votes_per_s)  # in which the platform counts what moves a stage
+        self.turn_s = turn_s if turn_s > VOTE_GAP_S else 0.0
         self.faults_least, self.strikes_least = ceil(FAULTS_LEAST / votes), STRIKES + (votes > 1)
         self.doubt = votes / terms.fronts * DOUBT ** votes**-0.5  # that so many of all fronts err at once
         self.open_part, self.open_most = OPEN_ALL / terms.fronts, terms.most_open
@@ -108,6 +113,7 @@
         self.spell = Spell(PERIOD_S, SPELL * self.long_s, LASTING * self.long_s)
         self.pressed, self.strikes, self.calm = False, 0, 0.0  # txns settled in LOOP_S as a trial begins
         self.vote_at, self.crossed, self.carried, self.scout, self.boost = -inf, False, 0.0, 1.0, 1.0
+        self.broke_at = self.on_next = -inf  # the last broken connection; until when a vote on waits its turn
         self.vote: tuple[int, int, Verdict] | None = None  # the last cast
         self.orders: list[tuple] = []
 
@@ -127,8 +133,10 @@
         self.watching, self.asked = (self.watching, self.asked) if old else (True, 0)
 
     def list_failed(self, now: float) -> None:
+        # Guards against all fronts asking a full registry so often that it hears none. Harm: a late list.
         self.watching, self.asked = False, self.asked + 1
-        self.ask_at = now + self.chance.uniform(0.3, 1.0) * min(0.3 * 2**self.asked, self.ask_most_s)
+        most_s = self.ask_most_s * min(1.0, 2.0 ** (self.asked - ASK_STEPS))
+        self.ask_at = now + self.chance.uniform(0.3, 1.0) * most_s
 
     def take(self, now: float, txn: Txn) -> None:
         self.takes.add(now, "all", txn.product, txn.customer)
@@ -185,6 +193,8 @@
     def news(self, now: float, release: Release | None, reply: Reply | None) -> None:
         if reply not in (None, Reply.COUNTED):
             self.vote, self.vote_next = None, now + VOTE_GAP_S * self.chance.uniform(1.0, 2.0)
+            if reply is Reply.FULL:
+                self.await_turn(now, 0.5)
         if release is not None:
             old, self.release = self.release, release
             fresh = old is None or old.number != release.number
@@ -198,10 +208,16 @@
                 self.stage_at, self.bound, self.integral, self.error = now - release.since_s, False, 0.0, None
                 self.share, self.scout = self.shares[release.stage], self.chance.random()
                 self.spell.slow_for *= release.phase is Phase.TRIAL
+                self.await_turn(now, 0.0)
             if release.phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
                 self.key_floor = {k: n for k, n in self.key_floor.items() if n < release.number}
             self.arms(now)
 
+    def await_turn(self, now: float, least: float) -> None:
+        # Guards against hundreds of votes on at once, which keep out those back. Harm: a stage's last late.
+        if self.turn_s:
+            self.on_next = now + self.turn_s * self.chance.uniform(least, 1.0 + least)
+
     def counted(self, now: float, count: Count) -> None:
         self.counts.append(count)
 
@@ -497,9 +513,11 @@
             if spared or result is Result.UNREACHABLE:
                 seat.aside_s = min(ASIDE_S[1], max(ASIDE_S[0], 2 * seat.aside_s))
                 seat.aside_at, seat.aside_until = now, now + seat.aside_s * self.chance.uniform(0.8, 1.2)
-        # Guards against blaming a build for the network: broken connections tell beside earlier nodes alone.
+        # Guards against blaming a build for the network: broken connections tell beside earlier nodes alone,
+        # and of those that break in one period, as where a zone is lost, the first. Harm: crashes count once.
         fault, cold = result in (Result.FAULT, Result.SPOILT), sub.sent < seat.warm_at
-        fault = fault or (result is Result.BROKEN and bool(self.trial and self.older))
+        if result is Result.BROKEN:
+            fault, self.broke_at = now > self.broke_at + PERIOD_S and bool(self.trial and self.older), now
         if good or fault or result is Result.SILENT:
             self.evidence.add(Sample(now, seat.node, product, result, fault, took, spent, cold))
 
@@ -517,7 +535,7 @@
             return Verdict.HOLD if rel.phase is Phase.TRIAL and not self.bound else Verdict.NONE
         counted = (c.total for c in self.counts if c.release == rel.number)
         seen = len(self.evidence.of(rel.number)) + sum(counted)
-        least = max(self.least_ever, LEAST - LEAST_PER_S * (now - self.stage_at))
+        least = max(self.least_ever, self.least - LEAST_PER_S * (now - self.stage_at))
         stands = self.vote == (rel.number, rel.stage, Verdict.ON) and not self.crossed
         return Verdict.ON if stands or (seen >= least and self.bound and self.trial) else Verdict.NONE
 
@@ -526,8 +544,18 @@
         # Guards against holding machine trouble against a build: faults count only without sick nodes, a
         # third at most, and against the earlier one's of their kind. Harm: some on few nodes or amid others.
         new, old = self.evidence.of(number), self.evidence.before(number)
-        spread = sum(s.fault for s in trimmed(new, TRIM_PART, SICK)) >= SPREAD_LEAST or self.faults_least == 1
-        if spread and faulty_chance(new, old, self.faults_least, FAULT_FLOOR, FAULTIER) < self.doubt:
+        well = trimmed(new, TRIM_PART, SICK)
+        if self.faults_least > 1:
+            spread = sum(s.fault for s in well) >= SPREAD_LEAST
+            chance = faulty_chance(new, old, self.faults_least, FAULT_FLOOR, FAULTIER) if spread else 1.0
+        else:
+            # Guards against stray faults of machines: of many fronts some see one early, at one of its looks.
+            # A trouble shared shows in both of the same seconds. Harm: a build failing at one node is kept.
+            start = min((s.at for s in new), default=now) if self.older else -inf
+            theirs = [s for s in old if s.at >= start]
+            mine = new if self.older else well
+            chance = 1.0 / max(1.0, sureness(mine, theirs, BAD_PRIOR, FAULT_FLOOR, FAULTIER))
+        if chance < self.doubt:
             return True
         paces = relative(*together(new, old, now - RECENT_S), SLOW_LEAST) if self.older else []
         slower = len(paces) >= self.slow_least and surely(paces) > SLOWER
@@ -539,9 +567,11 @@
         if self.release is None or now < self.vote_next:
             return
         vote = (self.release.number, self.release.stage, self.verdict(now))
-        nothing = vote[2] is Verdict.NONE and (self.vote is None or self.vote[:2] != vote[:2])
+        spent = self.vote and self.vote[2] is Verdict.ON and self.release.phase is not Phase.TRIAL
+        nothing = vote[2] is Verdict.NONE and (self.vote is None or self.vote[:2] != vote[:2] or bool(spent))
         stands = vote[2] is Verdict.NONE or now < self.vote_at + 0.6 * self.vote_life_s
-        if nothing or (vote == self.vote and stands):
+        early = vote[2] is Verdict.ON and now < self.on_next
+        if nothing or early or (vote == self.vote and stands):
             return
         self.vote, self.vote_at = vote, now
         self.vote_next = now + VOTE_GAP_S * self.chance.uniform(1.0, 2.0)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import unittest
 from pathlib import Path
@@ -16,6 +17,7 @@
 from example import toy
 from pinward.config import FaultyKeyError, Sheet, decode_branch, decode_list
 from pinward.net import http
+from pinward.net.discovery import Discovery
 from pinward.net.front import Front
 from pinward.net.log import Log
 from pinward.net.platform import Call, Platform
@@ -267,6 +269,30 @@
                 said.append(f"{text!r}: no")
         compare(self, "platform-lines", said)
 
+    def test_watch_from_known(self) -> None:
+        """A front that holds a list asks for what is newer, at once at first; then its calls wait."""
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            tasks, asked = Scheduler(), []
+            told = lambda news: asked.append(news.rev)  # noqa: E731
+            heard = Discovery(tasks, server.getsockname(), 4096, 5.0, 2.0, told, asked.append, 41)
+            heard.watch()
+
+            def registry() -> None:
+                with server.accept()[0] as sock:
+                    for rev in (42, 43):
+                        asked.append(sock.recv(4096).split(b" ")[1].decode())
+                        body = b'{"rev":%d,"all":false,"targets":[]}' % rev
+                        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+                    asked.append(sock.recv(4096).split(b" ")[1].decode())
+
+            thread = threading.Thread(target=registry, daemon=True)
+            thread.start()
+            until = time.monotonic() + 10.0
+            while thread.is_alive() and time.monotonic() < until:
+                tasks.turn()
+            thread.join(1.0)
+        compare(self, "watch-from-known", [str(line) for line in asked[:5]])
+
     def test_lists(self) -> None:
         node = {"uid": "s", "endpoint": "127.0.0.1:9", "state": "up", "release": 4, "boot_ms": None}
         said = [str(decode_list(Sheet({"rev": 3, "all": False, "targets": [node]}, "")))]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -212,10 +212,72 @@
         return [line for line in play.lines if "back" in line][:1]
 
     def test_shared_doubt(self) -> None:
-        """Three faults send back at one of 4 fronts, not of 400; one is enough where 40 votes are needed."""
+        """Three faults send back at one of 4 fronts, not of 400; two are enough where 40 votes are needed."""
         lines = ["4 fronts, 1 vote", *self.faults(4, 1), "400 fronts, 1 vote", *self.faults(400, 1)]
         compare(self, "shared-doubt", [*lines, "400 fronts, 40 votes", *self.faults(400, 40)])
 
+    def votes_back(self, fronts: int, back: int, stray: float, sick: float, bad: float) -> str:
+        """How many fronts vote back: all nodes fail now and then, two of them often, the new build too."""
+        voted = 0
+        for seed in range(fronts):
+            nodes, chance = {f"n{i}": 1 + (i > 13) for i in range(20)}, Random(seed)
+            play = Play(nodes, seed=seed, fronts=fronts, on_votes=fronts // 2, back_votes=back)
+            play.stage(2, 0, 0.5)
+            for _ in range(240):
+                play.take(LOOK)
+                play.wait(0.05)
+                node = play.waiting[0].node
+                share = sick if node.name in ("n3", "n19") else bad if node.release == 2 else stray
+                play.end(Result.FAULT if chance.random() < share else Result.SETTLED)
+                while play.waiting:
+                    play.end()
+            voted += any("vote back" in line for line in play.lines)
+        return f"stray {stray}, at two sick nodes {sick}, by the build {bad}: {voted} of {fronts} vote back"
+
+    def test_stray_faults(self) -> None:
+        """Stray faults, or a sick node on each arm, send no build back; a bad build goes."""
+        kinds = ((0.007, 0.007, 0.007), (0.0, 0.5, 0.0), (0.007, 0.007, 0.3))
+        compare(self, "stray-faults", [self.votes_back(40, 4, *shares) for shares in kinds])
+
+    def test_broken_at_once(self) -> None:
+        """What breaks in one moment, as where a zone is lost, is one fault; on and on it sends back."""
+        lines = []
+        for apart in (0.0, 0.6):
+            play = Play({"a": 1, "c": 2, "d": 2, "e": 2, "f": 2}, fronts=40, on_votes=20, back_votes=4)
+            play.stage(2, 0, 1.0)
+            for _ in range(30):
+                play.take(LOOK)
+                play.wait(0.05)
+                play.end()
+            for _ in range(12):
+                play.take(LOOK)
+            for at in range(len(play.waiting) - 1, -1, -1):
+                if play.waiting[at].node.release == 2:
+                    play.end(Result.BROKEN, which=at)
+                    play.wait(apart)
+            play.wait(2.0)
+            back = sum("vote back" in line for line in play.lines)
+            lines.append(f"{apart:.1f} s apart: {'back' if back else 'no vote back'}")
+        compare(self, "broken-at-once", lines)
+
+    def test_turns(self) -> None:
+        """Where 200 fronts may vote on at once, 20 counted a second, they take turns; a release ends it."""
+        cast: dict[int, int] = {}
+        for seed in range(200):
+            many = {"fronts": 200, "on_votes": 100, "back_votes": 16, "votes_per_s": 20.0}
+            play = Play({"a": 1, "c": 2}, seed=seed, **many)
+            play.stage(2, 0, 1.0)
+            for turn in range(300):
+                play.take(LOOK)
+                play.wait(0.03)
+                play.end()
+                if turn == 280:
+                    play.stage(2, 1, 1.0, Phase.RELEASED)  # a vote on need not be taken away then
+            for line in play.lines:
+                if "vote" in line:
+                    cast[int(float(line.split()[0]))] = cast.get(int(float(line.split()[0])), 0) + 1
+        compare(self, "turns", [f"second {second}: {cast[second]} votes" for second in sorted(cast)])
+
 
 class Rules(unittest.TestCase):
     def test_every_txn_answered(self) -> None:
@@ -431,6 +493,22 @@
             play.judge.list_failed(play.now)
         compare(self, "list-fails", play.lines)
 
+    def test_full_registry(self) -> None:
+        """Turned away each time, 40 fronts together soon ask six times a second or less, spread out."""
+        asked = [0] * 60
+        for seed in range(40):
+            play = Play({"a": 1}, seed=seed, must_ask=True)
+            play.judge.list_failed(play.now)
+            while play.now < 160.0:
+                before = len(play.lines)
+                play.wait(0.2)
+                if len(play.lines) > before:
+                    play.judge.list_failed(play.now)
+            for line in play.lines:
+                asked[min(59, int(float(line.split()[0])))] += "watch" in line
+        by_ten = [sum(asked[ten : ten + 10]) / 10 for ten in range(0, 60, 10)]
+        compare(self, "full-registry", [f"calls a second, by ten seconds: {by_ten}"])
+
     def test_silent_node(self) -> None:
         """What waits at a node that says nothing is taken back and sent elsewhere; once-only txns wait."""
         play = Play({"a": 1, "b": 1})
