At the last stage no aim holds a build back once no earlier node is left

All nodes had the build since 12 s: nothing could be kept back from it, and going back starts all nodes cold. Ruled out: refused votes (6 of 80 in that time), votes back (none). At fault: loop() counts an aim crossed where the earlier nodes are gone. They bound nothing then, so does the clamp. What goes back is told as before, by faults and by slowness that begins under the trial's traffic.

--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -311,8 +311,10 @@
         out = GAIN_P * error + GAIN_I * self.integral + GAIN_D * rate
         if 0.0 < out < clamp:
             self.integral += error * PERIOD_S
-        self.error, self.share, self.crossed = error, max(0.0, min(clamp, out)), min(error, slow) < 0
-        self.bound = out >= clamp and not self.crossed
+        self.error, self.share = error, max(0.0, min(clamp, out))
+        # Guards against waiting where nothing can be kept back: all nodes have the build. Harm: a bad one goes on.
+        self.crossed = bool(self.older) and min(error, slow) < 0
+        self.bound = not self.crossed and (out >= clamp or not self.older)
         # Where no front would see enough for a lone vote, some send the share of all. Harm: to their clients.
         self.boost = 1.0
         if self.lone and 0.0 < self.share * self.rate * SCOUT_S < LEAST_EVER:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -239,6 +239,23 @@
         kinds = ((0.007, 0.007, 0.007), (0.0, 0.5, 0.0), (0.007, 0.007, 0.3))
         compare(self, "stray-faults", [self.votes_back(40, 4, *shares) for shares in kinds])
 
+    def test_last_stage(self) -> None:
+        """Slow beyond the aim, a build waits while earlier nodes are left; with none left it is voted on."""
+        lines = []
+        for gone in (False, True):
+            play = Play({"a": 1, "b": 1, "c": 2, "d": 2}, on_votes=20, back_votes=4, fronts=40)
+            play.stage(2, 1, 1.0)
+            for turn in range(40):
+                if turn == 20 and gone:
+                    play.list({"c": (2, 0.0, True), "d": (2, 0.0, True)})
+                play.take(LOOK)
+                play.wait(0.8)
+                while play.waiting:
+                    play.end(took=0.8)
+            votes = [line.split()[2] for line in play.lines if "vote" in line]
+            lines.append(f"the earlier nodes {'go' if gone else 'stay'}: votes {' '.join(votes)}")
+        compare(self, "last-stage", lines)
+
     def test_broken_at_once(self) -> None:
         """What breaks in one moment, as where a zone is lost, is one fault; on and on it sends back."""
         lines = []
