--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -312,7 +312,7 @@
         if 0.0 < out < clamp:
             self.integral += error * PERIOD_S
         self.error, self.share = error, max(0.0, min(clamp, out))
-        # Guards against waiting where nothing is kept back: no earlier node is left. Harm: a bad build goes on.
+        # Guards against waiting where nothing is kept back: no earlier node is left. Harm: a bad one goes on.
         self.crossed = bool(self.older) and min(error, slow) < 0
         self.bound = not self.crossed and (out >= clamp or not self.older)
         # Where no front would see enough for a lone vote, some send the share of all. Harm: to their clients.
