Where votes are short, one on is renewed late and kept amid few outcomes

Each front cast its vote anew after 0.6 of its life, and took it away for one late answer of the trial in three seconds, to cast it once more. Ruled out: votes back (50 in that time, 16 would have moved it), refused ones (they cost nothing of what is counted). At fault: ballot() renews at 0.6 of the life whatever the room; loop() crosses an aim by one outcome.

--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -313,7 +313,8 @@
             self.integral += error * PERIOD_S
         self.error, self.share = error, max(0.0, min(clamp, out))
         # Guards against waiting where nothing is kept back: no earlier node is left. Harm: a bad one goes on.
-        self.crossed = bool(self.older) and min(error, slow) < 0
+        few = self.turn_s > 0 and len(fresh) < LEAST_EVER  # no reason to spend two of the votes counted
+        self.crossed = bool(self.older) and (slow < 0 or (error < 0 and not few))
         self.bound = not self.crossed and (out >= clamp or not self.older)
         # Where no front would see enough for a lone vote, some send the share of all. Harm: to their clients.
         self.boost = 1.0
@@ -571,7 +572,8 @@
         vote = (self.release.number, self.release.stage, self.verdict(now))
         spent = self.vote and self.vote[2] is Verdict.ON and self.release.phase is not Phase.TRIAL
         nothing = vote[2] is Verdict.NONE and (self.vote is None or self.vote[:2] != vote[:2] or bool(spent))
-        stands = vote[2] is Verdict.NONE or now < self.vote_at + 0.6 * self.vote_life_s
+        life_s = self.vote_life_s * (0.9 if self.turn_s and vote[2] is Verdict.ON else 0.6)
+        stands = vote[2] is Verdict.NONE or now < self.vote_at + life_s
         early = vote[2] is Verdict.ON and now < self.on_next
         if nothing or early or (vote == self.vote and stands):
             return
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -239,6 +239,21 @@
         kinds = ((0.007, 0.007, 0.007), (0.0, 0.5, 0.0), (0.007, 0.007, 0.3))
         compare(self, "stray-faults", [self.votes_back(40, 4, *shares) for shares in kinds])
 
+    def test_short_of_votes(self) -> None:
+        """A vote on is renewed late where few are counted, and one late answer alone does not take it away."""
+        lines = []
+        for counted in (50.0, 10.0):
+            play = Play({"a": 1, "b": 1, "c": 2}, fronts=40, on_votes=20, back_votes=4, votes_per_s=counted)
+            play.stage(2, 0, 0.2)
+            for turn in range(60):
+                play.take(LOOK)
+                late = 12 < turn < 20 and play.waiting[0].node.release == 2
+                play.wait(1.9 if late else 0.3)
+                play.end(took=1.9 if late else 0.3)
+            votes = [line.split()[0] + " " + line.split()[2] for line in play.lines if "vote" in line]
+            lines.append(f"{counted:.0f} a second: {', '.join(votes)}")
+        compare(self, "short-of-votes", lines)
+
     def test_last_stage(self) -> None:
         """Slow beyond the aim, a build waits while earlier nodes are left; with none left it is voted on."""
         lines = []
