--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -240,7 +240,7 @@
         compare(self, "stray-faults", [self.votes_back(40, 4, *shares) for shares in kinds])
 
     def test_short_of_votes(self) -> None:
-        """A vote on is renewed late where few are counted, and one late answer alone does not take it away."""
+        """Where few votes are counted, one on is renewed late, and no single late answer takes it away."""
         lines = []
         for counted in (50.0, 10.0):
             play = Play({"a": 1, "b": 1, "c": 2}, fronts=40, on_votes=20, back_votes=4, votes_per_s=counted)
