--- a/standin/crowd.py
+++ b/standin/crowd.py
@@ -138,7 +138,8 @@
             stage_shares=list(WAVES), cap_by_product=False, cap_free=2.0, cap_window_s=4.0, guarded_stages=1,
             keys_stay=False, warm_keys=False, on_votes=self.on_votes, back_votes=self.back_votes,
             hold_votes=0, vote_life_s=10.0, vote_answer_s=2.0, votes_per_s=self.votes_per_s, soak_s=BAKE_S,
-            counts_every_s=0.0, count_sample=0.0, wrong_share=0.0, behind_price=0.45, harm_price=5.0, batch_s=0.005,
+            counts_every_s=0.0, count_sample=0.0, wrong_share=0.0, behind_price=0.45,
+            harm_price=5.0, batch_s=0.005,
         )  # fmt: skip
         return [Terms(zone=zone, **usual) for zone in range(self.zones)]  # type: ignore[arg-type]
 
