The crowd holds what runs at a place once, and lists and ages by one function each

Cause, found on reading the change again: a place on trial was kept in two dicts, and a node that came back was put in one alone, so a lost zone left dead nodes at places on trial; a listing and a release's age were each made twice; a property and a sum that nothing used; bare delays in the code. Change: the places on trial are a set, `homes` alone holds machines; `listing` and `aged` serve all; the delays stand in the block of constants.

--- a/standin/crowd.py
+++ b/standin/crowd.py
@@ -28,6 +28,7 @@
 LIST_S, NEWS_S, SILENT_S = (0.45, 1.3), (0.12, 0.9), (7.0, 14.0)  # until listed; told; until a dead one is
 CORES, QUEUE = 4, 80  # of a node; txns that wait there
 TRIES = 2  # more tries of a client
+HOP_S, CALL_S, VOTE_S = 0.0005, (0.036, 0.2), 10.0  # to a node; to the platform; a vote's life
 COLD_FROM, COLD_S = 0.4, 4.0  # a node that has just started
 
 
@@ -44,10 +45,6 @@
     fate: str = "never offered"
     at: float = 0.0
 
-    @property
-    def bad(self) -> bool:
-        return self.faults > 0 or self.slower > 1 or self.shared > 0
-
 
 @dataclass(eq=False)
 class Wish:
@@ -100,8 +97,7 @@
         self.began, self.builds, self.events, self.count = self.now, builds, [], 0
         self.on_votes, self.back_votes = max(1, round(on_part * fronts)), max(1, round(back_part * fronts))
         self.votes_per_s, self.room, self.full = votes_per_s, 2 * votes_per_s, 0  # of votes; refused
-        self.work = sum(work * part for _, work, part in PRODUCTS)
-        self.rate = load * places * CORES / self.work
+        self.rate = load * places * CORES / sum(work * part for _, work, part in PRODUCTS)
         self.machines: dict[Node, Machine] = {}
         self.weak: dict[int, tuple[float, float]] = {}  # places in trouble: how slow, how faulty
         self.homes: list[Machine] = []
@@ -109,7 +105,7 @@
             self.homes.append(self.launch(place, 1, 0.0))
         self.release = Release(1, Phase.RELEASED, len(WAVES) - 1, 1.0, 0.0)
         self.ready, self.drag = self.now, 0.0
-        self.new: dict[int, Machine] = {}  # by place, of the build on trial
+        self.new: set[int] = set()  # places that get the build on trial
         self.asked: dict[int, float] = {}
         self.settled: dict[int, float] = {}
         self.declined = self.late = self.voted = 0
@@ -137,7 +133,7 @@
             stage_caps=[min(1.0, SLACK * w) for w in WAVES],
             stage_shares=list(WAVES), cap_by_product=False, cap_free=2.0, cap_window_s=4.0, guarded_stages=1,
             keys_stay=False, warm_keys=False, on_votes=self.on_votes, back_votes=self.back_votes,
-            hold_votes=0, vote_life_s=10.0, vote_answer_s=2.0, votes_per_s=self.votes_per_s, soak_s=BAKE_S,
+            hold_votes=0, vote_life_s=VOTE_S, vote_answer_s=2.0, votes_per_s=self.votes_per_s, soak_s=BAKE_S,
             counts_every_s=0.0, count_sample=0.0, wrong_share=0.0, behind_price=0.45,
             harm_price=5.0, batch_s=0.005,
         )  # fmt: skip
@@ -163,14 +159,14 @@
         orders, desk.judge.orders = desk.judge.orders, []
         for verb, *what in orders:
             if verb is Verb.SUBMIT:
-                self.after(0.0005, self.reach, what[0])
+                self.after(HOP_S, self.reach, what[0])
                 self.after(what[0].allow_s, self.end, what[0], Result.SILENT)
             elif verb is Verb.RECALL:
                 self.after(0.0, self.end, what[0], Result.RECALLED)
             elif verb in (Verb.DECLINE, Verb.VOID):
                 self.turned_away(desk, what[0].tag[1], what[1] if verb is Verb.DECLINE else 0.0)
             elif verb is Verb.VOTE:
-                self.after(self.chance.uniform(0.036, 0.2), self.cast, desk, tuple(what))
+                self.after(self.chance.uniform(*CALL_S), self.cast, desk, tuple(what))
 
     def beat(self, desk: Desk) -> None:
         self.tell(desk, desk.judge.wake)
@@ -224,10 +220,9 @@
         return machine
 
     def listed(self, machine: Machine, *delay: float) -> None:
+        line = self.listing(machine)
         for desk in self.desks:
             late = self.chance.uniform(*(delay or LIST_S))
-            number, ready = machine.node.release, machine.alive and not machine.drains
-            line = Listing(machine.node, number, machine.place % self.zones, 0, 1.0, machine.started, ready)
             self.after(late, self.tell, desk, desk.judge.fleet, [line], False, False)
 
     def reach(self, sub: Submission) -> None:
@@ -235,7 +230,7 @@
         if sub.result is not None or not machine.alive:
             return
         if machine.drains or len(machine.line) >= QUEUE:
-            self.after(0.0005, self.end, sub, Result.TURNED_AWAY)
+            self.after(HOP_S, self.end, sub, Result.TURNED_AWAY)
             return
         machine.line.append(sub)
         self.work_on(machine)
@@ -256,7 +251,7 @@
     def done(self, machine: Machine, sub: Submission, bad: bool) -> None:
         if machine.alive:
             machine.busy -= 1
-            self.after(0.0005, self.end, sub, Result.FAULT if bad else Result.SETTLED)
+            self.after(HOP_S, self.end, sub, Result.FAULT if bad else Result.SETTLED)
             self.work_on(machine)
 
     def die(self, machine: Machine, back_s: float) -> None:
@@ -266,14 +261,13 @@
         self.after(back_s, self.replace, machine)
 
     def replace(self, machine: Machine) -> None:
-        fresh = self.launch(machine.place, machine.node.release, self.now)
-        held = self.new if self.new.get(machine.place) is machine else self.homes
-        held[machine.place] = fresh
         self.listed(machine)
-        self.listed(fresh)
+        if self.homes[machine.place] is machine:  # else another build has come meanwhile
+            self.homes[machine.place] = self.launch(machine.place, machine.node.release, self.now)
+            self.listed(self.homes[machine.place])
 
     def lose_zone(self, zone: int, back_s: float) -> None:
-        for machine in [*self.homes, *self.new.values()]:
+        for machine in list(self.homes):
             if machine.alive and machine.place % self.zones == zone:
                 self.die(machine, back_s)
 
@@ -281,22 +275,22 @@
 
     def cast(self, desk: Desk, vote: tuple[int, int, Verdict]) -> None:
         number, stage, verdict = vote
-        self.voted, answer = self.voted + 1, self.chance.uniform(0.036, 0.2)
+        self.voted, answer = self.voted + 1, self.chance.uniform(*CALL_S)
         if self.room < 1:
             self.full += 1
-            self.after(answer, self.tell, desk, desk.judge.news, self.news(), Reply.FULL)
+            self.after(answer, self.tell, desk, desk.judge.news, self.aged(self.release), Reply.FULL)
             return
         self.room -= 1
         rel = self.release
         moot = number != rel.number or rel.phase is Phase.WITHDRAWN or rel.phase is Phase.GOING_BACK
         moot = moot or (verdict is Verdict.ON and (stage != rel.stage or rel.phase is not Phase.TRIAL))
         if not moot:
-            desk.vote, desk.vote_until = vote, self.now + 10.0
+            desk.vote, desk.vote_until = vote, self.now + VOTE_S
         reply = Reply.MOOT if moot else Reply.COUNTED
-        self.after(answer, self.tell, desk, desk.judge.news, self.news(), reply)
+        self.after(answer, self.tell, desk, desk.judge.news, self.aged(self.release), reply)
 
-    def news(self) -> Release:
-        rel = self.release
+    def aged(self, rel: Release) -> Release:
+        """What the platform says now of where a release came to stand."""
         return Release(rel.number, rel.phase, rel.stage, rel.cap, self.now - rel.since_s)
 
     def stand(self, number: int, phase: Phase, stage: int, cap: float) -> None:
@@ -305,8 +299,7 @@
             self.after(self.chance.uniform(*NEWS_S), self.hear, desk, self.release)
 
     def hear(self, desk: Desk, rel: Release) -> None:
-        told = Release(rel.number, rel.phase, rel.stage, rel.cap, self.now - rel.since_s)
-        self.tell(desk, desk.judge.news, told, None)
+        self.tell(desk, desk.judge.news, self.aged(rel), None)
 
     def govern(self) -> None:
         self.after(0.1, self.govern)
@@ -318,11 +311,10 @@
         votes = [d.vote for d in self.desks if d.vote and d.vote_until > self.now and d.vote[0] == rel.number]
         back = sum(v[2] is Verdict.BACK for v in votes)
         on = sum(v[2] is Verdict.ON and v[1] == rel.stage for v in votes)
-        watched = rel.phase in (Phase.TRIAL, Phase.RELEASED) and build is not None
-        if watched and build and back >= self.back_votes:
+        if build and rel.phase in (Phase.TRIAL, Phase.RELEASED) and back >= self.back_votes:
             build.fate, build.at = f"back from {rel.phase.name.lower()} {rel.stage}", t
             self.stand(rel.number, Phase.GOING_BACK, rel.stage, 0.0)
-            for place in list(self.new):
+            for place in sorted(self.new):
                 self.after(self.chance.uniform(*BOOT_S), self.undo, place)
         elif rel.phase is Phase.TRIAL and build and on >= self.on_votes and self.now >= self.ready + BAKE_S:
             if rel.stage + 1 < len(WAVES):
@@ -347,19 +339,18 @@
         for place in self.chance.sample(left, max(0, min(len(left), wanted - len(self.new)))):
             boot = self.chance.uniform(*BOOT_S)
             self.ready = max(self.ready, self.now + boot + 1.0)
-            self.new[place] = self.homes[place]
+            self.new.add(place)
             self.after(boot, self.succeed, place, number)
 
     def succeed(self, place: int, number: int) -> None:
         if self.release.number != number or self.release.phase is not Phase.TRIAL:
-            self.new.pop(place, None)
+            self.new.discard(place)
             return
         self.swap(place, number)
-        self.new[place] = self.homes[place]
 
     def undo(self, place: int) -> None:
         self.swap(place, self.base[place])
-        self.new.pop(place, None)
+        self.new.discard(place)
 
     def swap(self, place: int, number: int) -> None:
         old = self.homes[place]
