Sick nodes are sought only where they are left out; renewal stands among the constants

Cause, found on reading the change again: worse() looked for sick nodes at each look, also where many fronts with earlier nodes left do not use them; ballot() held two bare shares of a vote's life and one condition in two places. Change: each branch looks for itself; RENEW in the block of constants; no decision differs.

--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -36,6 +36,7 @@
 SLOWER, SLOW_LEAST = 2.2, 12  # times the earlier build's: "considerably slower"; outcomes it takes to tell
 SCOUT_S, SCOUT_MOST, SCOUTS = 5.0, 0.5, 4  # s to the least sample, or few judge for all; their share; number
 WATCH_S, VOTE_GAP_S = 15.0, 0.6  # s; watch of a released build; least gap of votes, spread to twice that
+RENEW = (0.6, 0.9)  # of a vote's life until it is cast anew; where few are counted a second, one on
 KEPT, LATELY = 300, 60  # outcomes kept a build and product: ten seconds of a large front; times a product
 # Health and routing.
 RECENT_S, SAMPLES = 8.0, 10  # s, outcomes; older ones, or more, say nothing of a node now
@@ -547,16 +548,15 @@
         # Guards against holding machine trouble against a build: faults count only without sick nodes, a
         # third at most, and against the earlier one's of their kind. Harm: some on few nodes or amid others.
         new, old = self.evidence.of(number), self.evidence.before(number)
-        well = trimmed(new, TRIM_PART, SICK)
         if self.faults_least > 1:
-            spread = sum(s.fault for s in well) >= SPREAD_LEAST
+            spread = sum(s.fault for s in trimmed(new, TRIM_PART, SICK)) >= SPREAD_LEAST
             chance = faulty_chance(new, old, self.faults_least, FAULT_FLOOR, FAULTIER) if spread else 1.0
         else:
             # Guards against stray faults of machines: of many fronts some see one early, at one of its looks.
             # A trouble shared shows in both of the same seconds. Harm: a build failing at one node is kept.
             start = min((s.at for s in new), default=now) if self.older else -inf
             theirs = [s for s in old if s.at >= start]
-            mine = new if self.older else well
+            mine = new if self.older else trimmed(new, TRIM_PART, SICK)
             chance = 1.0 / max(1.0, sureness(mine, theirs, BAD_PRIOR, FAULT_FLOOR, FAULTIER))
         if chance < self.doubt:
             return True
@@ -570,11 +570,12 @@
         if self.release is None or now < self.vote_next:
             return
         vote = (self.release.number, self.release.stage, self.verdict(now))
-        spent = self.vote and self.vote[2] is Verdict.ON and self.release.phase is not Phase.TRIAL
-        nothing = vote[2] is Verdict.NONE and (self.vote is None or self.vote[:2] != vote[:2] or bool(spent))
-        life_s = self.vote_life_s * (0.9 if self.turn_s and vote[2] is Verdict.ON else 0.6)
-        stands = vote[2] is Verdict.NONE or now < self.vote_at + life_s
-        early = vote[2] is Verdict.ON and now < self.on_next
+        none, on = vote[2] is Verdict.NONE, vote[2] is Verdict.ON
+        last, out = self.vote, self.release.phase is not Phase.TRIAL
+        kept = last is not None and last[:2] == vote[:2]
+        spent = last is not None and last[2] is Verdict.ON and out
+        nothing, early = none and (not kept or spent), on and now < self.on_next
+        stands = none or now < self.vote_at + RENEW[bool(self.turn_s and on)] * self.vote_life_s
         if nothing or early or (vote == self.vote and stands):
             return
         self.vote, self.vote_at = vote, now
