Few settled count as sunk beyond chance; the least sample is shared where votes are few

Stage 1 begins at 10.25 s in place of 12.0 s, the slowness of all at 12.07 s meets a trial with traffic, and five fronts vote back by strikes alone. Front 255 of 385, one vote enough, counted 11 settled in 3 s for sunk against 17, a chance of one in twelve. Ruled out: turns, broken connections once a period, the likelihood ratio of faults, votes kept at a release. At fault: `self.least` in Judge.__init__, and `sunk` in Judge.strike. Change: the sample is shared only where the platform takes longer to count a stage's votes than the least gap of votes; sunk needs three standard errors.

--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -9,7 +9,7 @@
 
 from collections import deque
 from heapq import heappop, heappush
-from math import ceil, inf
+from math import ceil, inf, sqrt
 from random import Random
 from statistics import fmean
 
@@ -27,6 +27,7 @@
 AIM_PACE, CALM = 1.7, 1.2  # times the usual before the trial: slowness of all at most, and where it is over
 PACE, SPELL, LASTING = 4.0, 0.5, 2.5  # longest SLA times: kept; the least spell; it counts once more
 SUNK, RISE, WHOLE = 0.65, 1.5, 0.9  # of what settled before: no burst does; taken: a burst; units there
+SURE = 3.0  # standard errors of what settled before
 # Votes.
 LEAST, LEAST_PER_S, LEAST_EVER = 20, 3.0, 4  # outcomes; the design's least, less each second, and at least
 FAULTS_LEAST, FAULTIER, STRIKES = 3, 2.0, 2  # two may be one bad second; times the earlier's; one vote's
@@ -86,9 +87,10 @@
         # Votes that move a build share sample and doubt: many fronts judge from one fault. Harm: a sick node.
         votes = max(1, terms.back_votes)
         self.least_ever, self.slow_least = LEAST_EVER // on_votes, max(LEAST_EVER, LEAST // votes)
-        self.least = LEAST / on_votes if on_votes > LEAST_EVER else LEAST
         turn_s = on_votes / max(1.0, terms.votes_per_s)  # in which the platform counts what moves a stage
         self.turn_s = turn_s if turn_s > VOTE_GAP_S else 0.0
+        # Acts where counting votes takes its own time. Harm elsewhere: a trouble meets a stage begun early.
+        self.least = LEAST / on_votes if self.turn_s else LEAST
         self.faults_least, self.strikes_least = ceil(FAULTS_LEAST / votes), STRIKES + (votes > 1)
         self.doubt = votes / terms.fronts * DOUBT ** votes**-0.5  # that so many of all fronts err at once
         self.open_part, self.open_most = OPEN_ALL / terms.fronts, terms.most_open
@@ -326,9 +328,10 @@
 
     def strike(self, now: float, pace: float) -> None:
         # Guards against a build that slows all: times before it tell. Harm: shared troubles begun under it.
-        # In a burst more come and no fewer settle; rolls are slow too, so a released build must sink them.
+        # In a burst more come and no fewer settle; rolls are slow too, so a released build must sink them,
+        # and surely: of hundreds of fronts some see few by chance. Harm: one with little traffic waits.
         trial, start = self.release.phase is Phase.TRIAL, now - LOOP_S
-        sunk = self.settles.since(start) < SUNK * self.calm
+        sunk = self.settles.since(start) < min(SUNK * self.calm, self.calm - SURE * sqrt(self.calm))
         alike = trial and self.takes.since(start, "all") < RISE * self.calm
         what = self.spell.see(pace > AIM_PACE and (sunk or alike), pace < CALM)
         if what == "began":
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -170,6 +170,51 @@
         lines += ["many come, few settle", *self.slowed(3, 9, 1)]
         compare(self, "slowed-by-what", [*lines, "the trial began in a burst", *self.slowed(9, 3, 3)])
 
+    def sunk(self, fewer: float) -> int:
+        """Of 60 fronts with seven txns a second, those that vote back: a released build rolls, slow for 9 s.
+
+        From then on `fewer` of the txns are settled at all.
+        """
+        back = 0
+        for seed in range(60):
+            play, chance = Play({"a": 1, "c": 2}, seed=seed, fronts=400), Random(seed)
+            play.stage(1, 1, 1.0, Phase.RELEASED)
+            for turn in range(560):
+                if turn == 160:
+                    play.stage(2, 0, 0.5)
+                if turn == 300:
+                    play.list({"c": (2, 0.0, True), "d": (2, 0.0, True)})
+                    play.stage(2, 1, 1.0, Phase.RELEASED)
+                slow = 320 <= turn < 500
+                if chance.random() < 0.35:
+                    play.take(LOOK)
+                play.wait(0.05)
+                while play.waiting and play.now - play.waiting[0].sent > (0.25 if slow else 0.05):
+                    settles = not slow or chance.random() >= fewer
+                    took = play.now - play.waiting[0].sent
+                    play.end(Result.SETTLED if settles else Result.SILENT, took=took)
+            back += any("vote back on release 2" in line for line in play.lines)
+        return back
+
+    def test_sunk_by_chance(self) -> None:
+        """Slow answers while a release rolls, and few settled by the chance of traffic, send nothing back."""
+        lines = [f"{fewer:.0%} unsettled: {self.sunk(fewer)} of 60 fronts back" for fewer in (0.0, 0.7)]
+        compare(self, "sunk-by-chance", lines)
+
+    def test_least_sample(self) -> None:
+        """The least sample is shared by the votes of a stage only where counting them takes its time."""
+        lines = []
+        for counted in (25.0, 5.0):
+            play = Play({"a": 1, "b": 1, "c": 2}, fronts=27, on_votes=14, back_votes=5, votes_per_s=counted)
+            play.stage(2, 0, 0.3)
+            for _ in range(80):
+                play.take(LOOK)
+                play.wait(0.1)
+                play.end()
+            votes = [line.split()[0] for line in play.lines if "vote on" in line]
+            lines.append(f"{counted:.0f} counted a second: the first vote on after {votes[0]} s")
+        compare(self, "least-sample", lines)
+
     def test_one_sick_node(self) -> None:
         """One failing machine among four of the new build is not held against the build."""
         play = Play({"a": 1, "b": 1, "c": 2, "d": 2, "e": 2, "f": 2})
@@ -245,9 +290,9 @@
         for counted in (50.0, 10.0):
             play = Play({"a": 1, "b": 1, "c": 2}, fronts=40, on_votes=20, back_votes=4, votes_per_s=counted)
             play.stage(2, 0, 0.2)
-            for turn in range(60):
+            for turn in range(80):
                 play.take(LOOK)
-                late = 12 < turn < 20 and play.waiting[0].node.release == 2
+                late = 32 < turn < 40 and play.waiting[0].node.release == 2
                 play.wait(1.9 if late else 0.3)
                 play.end(took=1.9 if late else 0.3)
             votes = [line.split()[0] + " " + line.split()[2] for line in play.lines if "vote" in line]
