Owners: leases at the leader, grants and tokens in its log, and work done under them

Need: nothing said which front or instance does a piece of work for all others, or what an old owner that wakes late may still do. A lease alone does not stop an effect that was held back after its check. Change: `pinward/owners/`: a book in the leadership's log (a token is the index of the grant's entry), the leader's steward (renewals, takeover, hand-over, quotas with the least moves, doubt of those that come and go), the owner's holder, fences for parts of duties, notices under tokens, probing split among fronts or members of their own, commands and pages. `lead/instance.py` becomes instance, desk and commands; what commands share has a file of its own, so that groups no longer import what imports them. One reader of records for both stores.

--- a/pinward/__main__.py
+++ b/pinward/__main__.py
@@ -41,7 +41,17 @@
         except ValueError as fault:
             print(f"pinward: {fault}", file=sys.stderr)
             return 2
-    Front(branch, Log(branch.name), door).run(told, read_branch)
+    duties = None
+    if path := os.environ.get("PINWARD_OWNERS"):  # likewise
+        from pinward import logs
+        from pinward.owners.watchers import open_duties
+
+        try:
+            duties = open_duties(path, logs.logger(front=branch.name))
+        except ValueError as fault:
+            print(f"pinward: {fault}", file=sys.stderr)
+            return 2
+    Front(branch, Log(branch.name), door, duties).run(told, read_branch)
     return 0
 
 
--- a/pinward/command/__init__.py
+++ b/pinward/command/__init__.py
@@ -1,4 +1,4 @@
-"""The command `pinward`, on click: `main.py` has its groups, `lead.py` the words of leadership.
+"""The command `pinward`, on click: `main.py` gathers its groups, `shown.py` has what they share.
 
 Bare `python -m pinward` never comes here: it is the front. Exit 0: done; 1: what was asked did not hold; 2:
 wrong words or a faulty file, told in one plain line a fault.
--- a/pinward/command/cells.py
+++ b/pinward/command/cells.py
@@ -13,10 +13,9 @@
 from pinward.cells.atlas import Chart, MapError
 from pinward.cells.door import read_map
 from pinward.cells.placement import Machine, deal, spread_load, units_of
-from pinward.command.main import NotHeldError, keep, rig
+from pinward.command.shown import INTO, JSON, NotHeldError, keep, rig
 
 MAP = click.argument("map_file", metavar="MAP", type=click.Path(path_type=Path))
-JSON = click.option("--json", "as_json", is_flag=True, help="print JSON, for a program")
 
 
 def opened(path: Path) -> Chart:
@@ -143,7 +142,7 @@
 @click.option("--customers", type=click.IntRange(100, 1_000_000), default=100_000, show_default=True)
 @click.option("--nodes", type=click.IntRange(10, 100_000), default=2000, show_default=True)
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
-@click.option("--json", "into", type=click.Path(path_type=Path), help="write the figures to this file")
+@INTO
 def measure(customers: int, nodes: int, seed: int, into: Path | None) -> None:
     """Measures placement at size against theory, and the cost of a look-up as sizes grow."""
     from pinward.cells.measure import measure as figures
@@ -155,7 +154,7 @@
 @click.option("--seeds", type=click.IntRange(1), default=1, show_default=True)
 @click.option("--first", type=click.IntRange(0), default=1, show_default=True, help="the first seed")
 @click.option("--seconds", type=click.FloatRange(1.0), default=8.0, show_default=True, help="of each play")
-@click.option("--json", "into", type=click.Path(path_type=Path), help="write the figures to this file")
+@INTO
 def trial(seeds: int, first: int, seconds: float, into: Path | None) -> int:
     """Plants a bad customer before real fronts on loopback, with cells and without, and counts its harm."""
     figures = rig("cells_trial").play_all(range(first, first + seeds), seconds, sys.stderr)
--- a/pinward/command/lead.py
+++ b/pinward/command/lead.py
@@ -12,65 +12,28 @@
 import orjson
 
 from pinward import logs
-from pinward.command.main import NotHeldError, keep, rig
+from pinward.command.shown import FILE, INTO, JSON, NotHeldError, ask, keep, rig, show
 from pinward.lead.ledger import Act, Ledger
 from pinward.lead.office import LeadFile
 from pinward.lead.store import Store, StoreError
+from pinward.owners.book import Book
 from pinward.settings import read
 
-ANSWER_S = 5.0  # s that an instance may take to answer a command
-FILE = click.argument("file", type=click.Path())
-JSON = click.option("--json", "as_json", is_flag=True, help="print JSON, for a program")
-
-
-def ask(file: str, **asked: object) -> dict[str, Any]:
+def asked_of(file: str, **asked: object) -> dict[str, Any]:
     """What the instance of a settings file answers; raises NotHeldError where it does not run."""
     office = read(file, LeadFile)
-    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
-        sock.settimeout(ANSWER_S)
-        try:
-            sock.connect(str(office.state / "control"))
-            sock.sendall(orjson.dumps(asked) + b"\n")
-            data = b""
-            while not data.endswith(b"\n"):
-                part = sock.recv(65536)
-                if not part:
-                    break
-                data += part
-        except OSError as fault:
-            raise NotHeldError(f"instance {office.name} does not answer: {fault}") from None
-    if not data:
-        raise NotHeldError(f"instance {office.name} ended the connection")
-    return orjson.loads(data)
+    return ask(office.state, f"instance {office.name}", **asked)
 
 
 def state_of(path: Path, stages: int) -> dict[str, Any]:
     """The state that `snapshot --json` printed into a file."""
     try:
         state = orjson.loads(path.read_bytes())["state"]
-        return Ledger.of(stages, state).plain()
+        return {**Ledger.of(stages, state).plain(), "duties": Book.of(state.get("duties")).plain()}
     except (OSError, ValueError, KeyError, TypeError) as fault:
         raise click.UsageError(f"{path}: holds no snapshot: {fault!r}") from None
 
 
-def show(answer: dict[str, Any], as_json: bool, title: str = "") -> None:
-    """Prints an answer, as JSON or as a table; raises NotHeldError where it is a fault."""
-    if as_json:
-        click.echo(orjson.dumps(answer, option=orjson.OPT_INDENT_2).decode())
-    if "error" in answer:
-        raise NotHeldError(answer["error"])
-    if as_json:
-        return
-    from rich.console import Console
-    from rich.table import Table
-
-    table = Table(title=title or None, show_header=False)
-    for name, value in answer.items():
-        text = value if isinstance(value, str) else orjson.dumps(value).decode()
-        table.add_row(name.replace("_", " "), text)
-    Console().print(table)
-
-
 @click.group()
 def lead() -> None:
     """Several control instances that reach one decision."""
@@ -118,7 +81,7 @@
 @JSON
 def status(file: str, as_json: bool) -> None:
     """What an instance knows of itself, its peers and those that apply."""
-    show(ask(file, do="status"), as_json)
+    show(asked_of(file, do="status"), as_json)
 
 
 @lead.command("yield")
@@ -126,7 +89,7 @@
 @JSON
 def yield_(file: str, as_json: bool) -> None:
     """Has the leader hand over to the most caught-up instance."""
-    show(ask(file, do="yield"), as_json)
+    show(asked_of(file, do="yield"), as_json)
 
 
 @lead.command()
@@ -150,7 +113,7 @@
         except ValueError as fault:
             raise click.UsageError(str(fault)) from None
     asked = {"add": add} if add else {"remove": remove} if remove else {}
-    show(ask(file, do="members", **asked), as_json)
+    show(asked_of(file, do="members", **asked), as_json)
 
 
 @lead.command()
@@ -159,7 +122,7 @@
 @JSON
 def log(file: str, since: int | None, as_json: bool) -> None:
     """Shows the end of an instance's log."""
-    show(ask(file, do="log", **({} if since is None else {"since": since})), as_json)
+    show(asked_of(file, do="log", **({} if since is None else {"since": since})), as_json)
 
 
 @lead.command()
@@ -167,7 +130,7 @@
 @JSON
 def snapshot(file: str, as_json: bool) -> None:
     """Folds an instance's log now, and prints the state it comes to."""
-    show(ask(file, do="snapshot"), as_json)
+    show(asked_of(file, do="snapshot"), as_json)
 
 
 @lead.command()
@@ -188,7 +151,7 @@
     Example: pinward lead decide --id offer-42 --release 42 i1.conf offer
     """
     facts = {"id": name, "act": act, "release": release, "stage": stage, "share": share, "node": node}
-    show(ask(file, do="decide", **facts), as_json)
+    show(asked_of(file, do="decide", **facts), as_json)
 
 
 @lead.command()
@@ -210,7 +173,7 @@
 @click.option("--first", type=click.IntRange(0), default=1, show_default=True, help="the first seed")
 @click.option("--instances", type=click.IntRange(1, 9), default=3, show_default=True)
 @click.option("--seconds", type=click.FloatRange(1.0), default=20.0, show_default=True, help="of faults")
-@click.option("--json", "into", type=click.Path(path_type=Path), help="write the figures to this file")
+@INTO
 def trial(seeds: int, first: int, instances: int, seconds: float, into: Path | None) -> int:
     """Runs real instances on loopback under pauses, cuts, kills and restarts, and checks what was applied."""
     figures = rig("lead_trial").play_all(range(first, first + seeds), instances, seconds, sys.stderr)
@@ -222,7 +185,7 @@
 @lead.command()
 @click.option("--sizes", default="3,5,7,9", show_default=True, help="instances, in simulated time")
 @click.option("--listeners", type=click.IntRange(0, 4000), default=1000, help="on loopback")
-@click.option("--json", "into", type=click.Path(path_type=Path), help="write the figures to this file")
+@INTO
 def scale(sizes: str, listeners: int, into: Path | None) -> None:
     """Measures gaps and words at several sizes, and how late decisions reach many listeners."""
     try:
--- a/pinward/command/main.py
+++ b/pinward/command/main.py
@@ -4,15 +4,18 @@
 
 import sys
 import tomllib
-from importlib import import_module, metadata
+from importlib import metadata
 from pathlib import Path
-from types import ModuleType
 from typing import Any
 
 import click
-import orjson
 
 from pinward import logs
+from pinward.command.cells import cells
+from pinward.command.keys import keys
+from pinward.command.lead import lead
+from pinward.command.owners import owners
+from pinward.command.shown import NotHeldError
 from pinward.settings import FaultyFileError
 
 EXAMPLES = """
@@ -34,24 +37,6 @@
         return tomllib.loads(project.read_text())["project"]["version"] if project.exists() else "unknown"
 
 
-class NotHeldError(Exception):
-    """What was asked for did not hold: exit 1."""
-
-
-def rig(name: str) -> ModuleType:
-    """A module of the stand-ins; raises NotHeldError where this runs without the repository."""
-    try:
-        return import_module(f"standin.{name}")
-    except ImportError:
-        raise NotHeldError("its stand-ins are in the repository only; run it there") from None
-
-
-def keep(figures: object, into: Path | None) -> None:
-    """Writes figures to the file that --json names, if any."""
-    if into is not None:
-        into.write_bytes(orjson.dumps(figures, option=orjson.OPT_INDENT_2))
-
-
 @click.group(epilog=EXAMPLES, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(version(), prog_name="pinward")
 def pinward() -> None:
@@ -78,16 +63,13 @@
     click.echo(f"{file}: right; instance {office.name} of {office.installation}, {members} members")
 
 
+for group in (lead, keys, cells, owners):
+    pinward.add_command(group)
+
+
 def run(words: list[str] | None = None) -> int:
     """Runs the command with these words, or those of the process; the exit status."""
-    from pinward.command.cells import cells
-    from pinward.command.keys import keys
-    from pinward.command.lead import lead
-
     logs.start()
-    pinward.add_command(lead)
-    pinward.add_command(keys)
-    pinward.add_command(cells)
     try:
         done: Any = pinward.main(args=words, prog_name="pinward", standalone_mode=False)
     except click.exceptions.Exit as end:
--- a/pinward/lead/fence.py
+++ b/pinward/lead/fence.py
@@ -1,4 +1,4 @@
-"""The half of whoever applies decisions: it refuses leaders that were followed by another, and repeats.
+"""The half of whoever applies decisions or takes effects: it refuses who was followed, and repeats.
 
 A platform, a proxy or a front that listens embeds a `Fence`, calls it at each word of a leader, and keeps
 what it returns on a disk before the leader is answered. Nothing here does I/O.
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from enum import Enum
 
 
@@ -49,3 +50,39 @@
             return Answer.KNOWN
         self.place = place
         return Answer.APPLY
+
+
+@dataclass
+class Fences:
+    """A fence for each part of a duty, in one who takes effects: `admit` compares tokens.
+
+    What it answers with APPLY must be on a disk before the effect is done (`keep`, called with part and
+    token); where that fails, nothing was admitted. Parts are bounded: beyond, a new part is refused, since
+    forgetting a token would let an old owner in.
+    """
+
+    keep: Callable[[str, int], None]
+    most: int = 100_000
+    parts: dict[str, Fence] = field(default_factory=dict)
+
+    def admit(self, part: str, token: int) -> Answer:
+        """What an effect under a token is answered: APPLY and KNOWN let it in, STALE and GAP do not."""
+        fence = self.parts.get(part)
+        if fence is None:
+            if len(self.parts) >= self.most:
+                return Answer.GAP
+            fence = Fence()
+        before = fence.epoch
+        answer = fence.greet(token)
+        if answer is Answer.APPLY:
+            try:
+                self.keep(part, token)
+            except BaseException:
+                fence.epoch = before
+                raise
+            self.parts[part] = fence
+        return answer
+
+    def token(self, part: str) -> int:
+        """The highest token that a part has shown; 0: none."""
+        return self.parts[part].epoch if part in self.parts else 0
--- a/pinward/lead/instance.py
+++ b/pinward/lead/instance.py
@@ -1,4 +1,4 @@
-"""One control instance: the core, its disk, its peers, those that apply, the desk for fronts, and commands.
+"""One control instance: the core, its disk, its peers, and those that apply.
 
 Every call of the core goes through `tell`, which carries out what it asks for: saves first, then words.
 """
@@ -14,36 +14,25 @@
 from pathlib import Path
 from typing import Any
 
-import orjson
-
+from pinward.lead.commands import CONTROL_MOST, Commands, control_socket
 from pinward.lead.core import Core
+from pinward.lead.desk import ANSWER_S, DESK_MOST, DESK_RING_BYTES, VERDICTS, Desk, serve_all
 from pinward.lead.gates import Gates
 from pinward.lead.ledger import Act, Decision, Ledger, Placed
 from pinward.lead.office import LeadFile
-from pinward.lead.peers import Peers, accepted
+from pinward.lead.peers import Peers
 from pinward.lead.store import Acquaintances, Store, StoreError
-from pinward.lead.teller import RING_BYTES, Leadership, Teller, read_line
+from pinward.lead.teller import RING_BYTES, Leadership, Teller
 from pinward.lead.terms import Entry, Members, Role, Sort
 from pinward.lead.tls import Keys
 from pinward.lead.words import MalformedWordError, plain_word, word_of
-from pinward.net.ring import Link, listen
+from pinward.net.ring import listen
 from pinward.net.scheduler import READ, Scheduler
-from pinward.terms import Phase, Verdict
+from pinward.owners.book import Book
+from pinward.owners.office import Duties
+from pinward.terms import Verdict
 
-ANSWER_S = 2.0  # s that a front's vote or a command may wait for the leader
-DESK_MOST = 4096  # connections of fronts and listeners
-DESK_RING_BYTES = 8 * 1024  # a direction of one of these: a line of the platform's, twice
-IDLE_S = 60.0  # s after which a connection that says nothing ends, unless it watches
-SIGN_S = 1.0  # s between signs of life to those that watch
 PENDING_MOST = 1024  # votes passed on that wait for the leader's word
-CONTROL_MOST = 16  # commands at a time
-COMMAND_MOST = 64 * 1024  # bytes of a command
-SHOWN_MOST = 200  # entries of the log that one command shows
-VERDICTS = {"abstain": Verdict.NONE, "promote": Verdict.ON, "pause": Verdict.HOLD, "abort": Verdict.BACK}
-PHASES = {
-    Phase.TRIAL: "trial", Phase.GOING_BACK: "rolling_back", Phase.RELEASED: "released",
-    Phase.WITHDRAWN: "withdrawn",
-}  # fmt: skip
 
 
 class Instance:
@@ -70,8 +59,9 @@
         self.busy = self.leaving = False
         self.exit = 0
         self.tellers: list[Teller] = []
-        self.watchers: dict[Link, Any] = {}
-        self.voted: set[Link] = set()  # of fronts without a name
+        self.desk = Desk(self)
+        self.book = Book()
+        self.duties = Duties(self, office.owners) if office.owners is not None else None
 
     # Running.
 
@@ -90,8 +80,10 @@
             self.tellers.append(teller)
             spawn(teller.run, applier.address)
         if office.desk is not None:
-            spawn(self.accept, listen(office.desk), self.serve_front, DESK_MOST, DESK_RING_BYTES)
-        spawn(self.accept, self.control_socket(), self.serve_command, CONTROL_MOST, RING_BYTES)
+            serve, note = self.desk.serve_front, self.note
+            spawn(serve_all, self.tasks, listen(office.desk), serve, DESK_MOST, DESK_RING_BYTES, note)
+        commands, listener = Commands(self), control_socket(self.control_path)
+        spawn(serve_all, self.tasks, listener, commands.serve_command, CONTROL_MOST, RING_BYTES, self.note)
         if signals is not None:
             spawn(self.heed, signals)
         self.ticker = spawn(self.tick)
@@ -108,15 +100,6 @@
     def control_path(self) -> Path:
         return self.store.folder / "control"
 
-    def control_socket(self) -> socket.socket:
-        self.control_path.unlink(missing_ok=True)  # the store's lock says that nobody else uses it
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-        sock.bind(str(self.control_path))
-        self.control_path.chmod(0o600)
-        sock.listen(CONTROL_MOST)
-        sock.setblocking(False)
-        return sock
-
     def note(self, event: str, **facts: object) -> None:
         self.log.info(event, epoch=self.core.epoch, **{k: v for k, v in facts.items() if k != "epoch"})
 
@@ -164,16 +147,23 @@
             self.note(event, **facts)
         if (jump := core.take_jump()) is not None:
             self.lead.ledger = Ledger.of(len(self.office.stage), jump.state)
+            self.book = Book.of((jump.state or {}).get("duties"))
+            if self.duties is not None:
+                self.duties.begin_anew(self.book)
             self.note("state-taken", place=self.ledger.place)
             self.meet()
             self.stood()
         for entry in core.take_committed():
             self.committed(entry)
         if core.applied - core.base.index >= self.office.fold_after:
-            core.fold(core.applied, self.ledger.plain())
+            core.fold(core.applied, self.plain())
             self.carry_out()
         self.tasks.wake(self.ticker)
 
+    def plain(self) -> dict[str, Any]:
+        """All that the log's entries came to, as plain data."""
+        return {**self.ledger.plain(), "duties": self.book.plain()}
+
     @property
     def ledger(self) -> Ledger:
         return self.lead.ledger
@@ -204,8 +194,11 @@
                 self.tasks.wake(waiter[0])
             for teller in self.tellers:
                 teller.wake()
-            for task in self.watchers.values():
-                self.tasks.wake(task)
+            self.desk.wake()
+        elif entry.sort is Sort.DUTIES:
+            effects = self.book.apply(entry.index, entry.body)
+            if self.duties is not None:
+                self.duties.committed(entry.body, effects)
 
     def meet(self) -> None:
         """Speak with the members as they are now."""
@@ -246,6 +239,8 @@
                 self.tell(self.core.tick)
             self.decide_by_votes()
             self.take_in()
+            if self.duties is not None:
+                self.duties.tick()
 
     # Deciding.
 
@@ -312,222 +307,6 @@
             del self.pending[ticket]
         return waiter[1] or "FAILED"
 
-    # The desk: fronts that watch and vote in the platform's lines, and listeners that apply.
-
-    def accept(
-        self, listener: socket.socket, serve: Callable[[Link], None], most: int, ring_bytes: int
-    ) -> None:
-        links: set[Link] = set()
-        while True:
-            sock = accepted(self.tasks, listener)
-            if len(links) >= most:
-                sock.close()
-                continue
-            link = Link(self.tasks, sock, ring_bytes)
-            links.add(link)
-            self.tasks.spawn(self.one, link, serve, links)
-
-    def one(self, link: Link, serve: Callable[[Link], None], links: set[Link]) -> None:
-        try:
-            serve(link)
-        except OSError:
-            pass  # the peer broke the connection
-        except ValueError as fault:
-            self.note("malformed", why=str(fault))
-        finally:
-            links.discard(link)
-            self.watchers.pop(link, None)
-            link.close()
-
-    def news(self) -> str:
-        """Where the release stands, in the platform's words."""
-        here, caps = self.ledger.standing, self.office.stage
-        cap = min(caps[min(here.stage, len(caps) - 1)], here.share)
-        cap = {Phase.TRIAL: cap, Phase.RELEASED: 1.0}.get(here.phase, 0.0)
-        age_ms = int(1000 * (self.tasks.now() - self.standing_since))
-        return f"{here.release} {here.stage} {PHASES[here.phase]} {cap:g} {age_ms}"
-
-    def serve_front(self, link: Link) -> None:
-        """One front's connection; without a name it is known by that, and its vote ends with it."""
-        host, port = link.sock.getpeername()[:2]
-        peer = f"{host}:{port}"
-        try:
-            self.converse(link, peer)
-        finally:
-            here = self.ledger.standing
-            if link in self.voted:
-                self.voted.discard(link)
-                self.tasks.spawn(self.take_back, peer, here.release, here.stage)
-
-    def take_back(self, front: str, release: int, stage: int) -> None:
-        self.pass_on(front, release, stage, "abstain")
-
-    def converse(self, link: Link, peer: str) -> None:
-        front, told = peer, -1
-        while True:
-            words = self.front_says(link, told)
-            if words is None:
-                return
-            if words == ["FOLLOW"]:
-                self.follow(link, peer)
-                return
-            if words == ["WATCH"]:
-                self.watchers[link] = self.tasks.current()
-                link.send(b"OK\r\n", self.tasks.now() + ANSWER_S)
-            elif words[:1] == ["NAME"] and len(words) == 2:
-                front = words[1][:200]
-                link.send(b"OK\r\n", self.tasks.now() + ANSWER_S)
-            elif words[:1] == ["VOTE"]:
-                if front == peer:
-                    self.voted.add(link)
-                link.send(self.vote_line(front, words), self.tasks.now() + ANSWER_S)
-            elif words:
-                link.send(b"ERR SYNTAX\r\n", self.tasks.now() + ANSWER_S)
-            if link in self.watchers and told != self.ledger.place:
-                told = self.ledger.place
-                link.send(f"* ROLLOUT {self.news()}\r\n".encode(), self.tasks.now() + ANSWER_S)
-
-    def front_says(self, link: Link, told: int) -> list[str] | None:
-        """The next line of a front, as words; none where only something is to be told; None at the end."""
-        began = self.tasks.now()
-        while True:
-            if link.inbox.peek(COMMAND_MOST).find(b"\n") >= 0:
-                return (read_line(self.tasks, link, began, COMMAND_MOST) or "").split(" ")
-            if link.ended:
-                return None
-            if link.inbox.room == 0:
-                raise ValueError("a line is too long")
-            watches = link in self.watchers
-            if watches and told != self.ledger.place:
-                return []
-            until = self.tasks.now() + SIGN_S if watches else began + IDLE_S
-            self.tasks.wait(until, (link.sock.fileno(), READ))
-            link.fill()
-            if self.tasks.now() >= until:
-                if not watches:
-                    return None
-                link.send(b"*\r\n", self.tasks.now() + ANSWER_S)
-
-    def vote_line(self, front: str, words: list[str]) -> bytes:
-        if len(words) != 4 or not (words[1].isdecimal() and words[2].isdecimal()) or words[3] not in VERDICTS:
-            return b"ERR SYNTAX\r\n"
-        answer = self.pass_on(front, int(words[1]), int(words[2]), words[3])
-        return f"OK {self.news()}\r\n".encode() if answer == "OK" else f"ERR {answer}\r\n".encode()
-
-    def follow(self, link: Link, name: str) -> None:
-        """One that applies has come by itself: it is told on this connection while this instance leads."""
-        if not self.core.may_act(self.tasks.now()):
-            link.send(f"ERR NOLEAD {self.core.leader or '-'}\r\n".encode(), self.tasks.now() + ANSWER_S)
-            return
-        teller = Teller(self.lead, name, trusted=False)
-        self.tellers.append(teller)
-        try:
-            teller.tell(link)
-        finally:
-            self.tellers.remove(teller)
-
-    # Commands.
-
-    def serve_command(self, link: Link) -> None:
-        text = read_line(self.tasks, link, self.tasks.now() + ANSWER_S, COMMAND_MOST)
-        if text is None:
-            return
-        try:
-            asked = orjson.loads(text)
-            answer = getattr(self, f"do_{asked['do']}")(asked)
-        except (ValueError, KeyError, TypeError, AttributeError) as fault:
-            answer = {"error": f"no command: {fault}"}
-        link.send(orjson.dumps(answer, default=str) + b"\n", self.tasks.now() + ANSWER_S)
-
-    def do_status(self, _: Any) -> dict[str, Any]:
-        core, now = self.core, self.tasks.now()
-        leads = core.role is Role.LEADING
-        return {
-            "name": self.office.name, "installation": self.office.installation,
-            "role": core.role.name.lower(), "epoch": core.epoch, "leader": core.leader,
-            "acts": core.may_act(now), "lease_s": round(max(0.0, core.lease_until - now), 3),
-            "last": core.last, "committed": core.committed,
-            "base": core.base.index, "place": self.ledger.place, "release": self.news().split(" "),
-            "disk_bytes": self.store.size, "saves": self.store.saves,
-            "doubted": sorted(core.doubted),
-            "peers": {
-                name: {
-                    "up": sender.up, "why": sender.why, "dropped": sender.dropped,
-                    "match": core.peers[name].match if leads and name in core.peers else None,
-                }
-                for name, sender in self.peers.senders.items()
-            },
-            "appliers": {t.name: {"state": t.state.name.lower(), "place": t.place} for t in self.tellers},
-            "refusals": self.peers.refusals,
-        }  # fmt: skip
-
-    def do_members(self, asked: Any) -> dict[str, Any]:
-        """Shows the members, or adds or removes one."""
-        members, where = self.core.members, dict(self.core.members.where)
-        add, remove = asked.get("add"), asked.get("remove")
-        if add is None and remove is None:
-            return {**members.plain(), "changing": self.core.changing}
-        if add is not None:
-            name, place = add
-            if name in where:
-                return {"error": f"{name} is a member already"}
-            where[name] = place
-            changed = Members(members.voters, members.learners | {name}, tuple(sorted(where.items())))
-        else:
-            if remove not in where:
-                return {"error": f"{remove} is no member"}
-            del where[remove]
-            rest = tuple(sorted(where.items()))
-            changed = Members(members.voters - {remove}, members.learners - {remove}, rest)
-        why = self.tell(self.core.change, Members.of(changed.plain()))
-        if why is None:
-            self.meet()
-        return {"error": why} if why else {"ok": True}
-
-    def do_yield(self, _: Any) -> dict[str, Any]:
-        if self.core.role is not Role.LEADING:
-            return {"error": "this instance does not lead"}
-        return {"heir": self.tell(self.core.hand_over)}
-
-    def do_log(self, asked: Any) -> dict[str, Any]:
-        first = max(int(asked.get("since", self.core.last - 20)), self.core.base.index)
-        shown = self.core.after(first)[:SHOWN_MOST]
-        return {
-            "base": self.core.base.index, "committed": self.core.committed,
-            "entries": [[e.index, e.epoch, e.sort.name.lower(), e.body] for e in shown],
-        }  # fmt: skip
-
-    def do_snapshot(self, _: Any) -> dict[str, Any]:
-        self.core.fold(self.core.applied, self.ledger.plain())
-        self.carry_out()
-        return {"base": self.core.base.index, "disk_bytes": self.store.size, "state": self.ledger.plain()}
-
-    def do_decide(self, asked: Any) -> dict[str, Any]:
-        """Puts a decision into the log and waits until it is committed; it may be asked for again."""
-        decision = Decision.of([
-            asked["id"], asked["act"], asked.get("release", 0), asked.get("stage", 0),
-            asked.get("share", 1.0), asked.get("node", ""), asked.get("by", "command"),
-        ])  # fmt: skip
-        now = self.tasks.now()
-        if not self.core.may_act(now):
-            return {"error": "this instance does not lead", "leader": self.core.leader}
-        if decision.name in self.ledger.names:
-            return {"place": self.ledger.names[decision.name], "again": True}
-        waiter: list[Any] = [self.tasks.current(), None]
-        self.waiting.setdefault(decision.name, []).append(waiter)
-        try:
-            if not self.propose(decision):
-                return {"error": "too many decisions are open; again in a moment"}
-            until = self.tasks.now() + ANSWER_S
-            while waiter[1] is None and self.tasks.now() < until:
-                self.tasks.wait(until)
-        finally:
-            if waiter in (others := self.waiting.get(decision.name, [])):
-                others.remove(waiter)
-                if not others:
-                    del self.waiting[decision.name]
-        return waiter[1] or {"error": "not committed yet; ask again with the same identity", "unknown": True}
-
     # The end.
 
     def heed(self, signals: socket.socket) -> None:
--- a/pinward/lead/office.py
+++ b/pinward/lead/office.py
@@ -2,26 +2,15 @@
 
 from __future__ import annotations
 
-import re
 from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import BeforeValidator, Field, model_validator
+from pydantic import Field, ValidationInfo, field_validator, model_validator
 
 from pinward.lead.gates import GateTerms, Way
 from pinward.lead.terms import Members, Pace
-from pinward.settings import Address, Block, Seconds, Share
-
-NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
-
-
-def name(text: object) -> str:
-    if not isinstance(text, str) or not NAME.fullmatch(text):
-        raise ValueError(f"must be a name of letters, digits, dots and dashes, not {text!r}")
-    return text
-
-
-Name = Annotated[str, BeforeValidator(name)]
+from pinward.owners.file import OwnersBlock
+from pinward.settings import Address, Block, Name, Seconds, Share
 
 
 class MemberBlock(Block):
@@ -66,6 +55,17 @@
     vote_life: Annotated[Seconds, Field(gt=0.0)] = 10.0
     stage: Annotated[list[Share], Field(min_length=1, max_length=100)] = [1.0]
     fold_after: Annotated[int, Field(ge=10, le=1_000_000)] = 2000
+    owners: OwnersBlock | None = None
+
+    @field_validator("owners")
+    @classmethod
+    def keeps_its_word(cls, owners: OwnersBlock | None, info: ValidationInfo) -> OwnersBlock | None:
+        told = info.data
+        if owners is not None and {"wait", "beat", "skew"} <= set(told):
+            why = owners.objection(told["wait"], told["beat"], told["skew"])
+            if why:
+                raise ValueError(why)
+        return owners
 
     @model_validator(mode="after")
     def agrees(self) -> LeadFile:
--- a/pinward/lead/store.py
+++ b/pinward/lead/store.py
@@ -36,6 +36,33 @@
     return start + struct.pack("<I", crc32(start)) + body
 
 
+def unpacked(path: Path, data: bytes) -> tuple[list[Any], int]:
+    """The bodies of all whole records, and where they end. Raises StoreError where what is damaged is not the
+    end of the file: what is lost then cannot be guessed."""
+    records, at = [], 0
+    while at < len(data):
+        head = data[at : at + HEAD.size]
+        if len(head) < HEAD.size:
+            break
+        length, check, head_check = HEAD.unpack(head)
+        if crc32(head[:8]) != head_check or length > RECORD_MOST:
+            if any(data[at:]):
+                raise StoreError(f"{path}: damaged at byte {at}: the head of a record is wrong")
+            break  # the file had grown, and its last write never came
+        body = data[at + HEAD.size : at + HEAD.size + length]
+        end = at + HEAD.size + length
+        if len(body) < length or (crc32(body) != check and end == len(data)):
+            break
+        if crc32(body) != check:
+            raise StoreError(f"{path}: damaged at byte {at}: the checksum of a record is wrong")
+        try:
+            records.append(msgpack.unpackb(body, strict_map_key=False))
+        except (ValueError, TypeError) as fault:
+            raise StoreError(f"{path}: damaged at byte {at}: {fault}") from None
+        at = end
+    return records, at
+
+
 def plain_entry(entry: Entry) -> list[Any]:
     return [entry.epoch, entry.index, int(entry.sort), entry.body]
 
@@ -160,30 +187,15 @@
 
     def replay(self, path: Path, data: bytes) -> int:
         """Takes in all whole records; returns where they end."""
-        at = 0
-        while at < len(data):
-            head = data[at : at + HEAD.size]
-            if len(head) < HEAD.size:
-                break
-            length, check, head_check = HEAD.unpack(head)
-            if crc32(head[:8]) != head_check or length > RECORD_MOST:
-                if any(data[at:]):
-                    raise StoreError(f"{path}: damaged at byte {at}: the head of a record is wrong")
-                break  # the file had grown, and its last write never came
-            body = data[at + HEAD.size : at + HEAD.size + length]
-            end = at + HEAD.size + length
-            if len(body) < length or (crc32(body) != check and end == len(data)):
-                break
-            if crc32(body) != check:
-                raise StoreError(f"{path}: damaged at byte {at}: the checksum of a record is wrong")
+        records, end = unpacked(path, data)
+        for number, record in enumerate(records):
             try:
-                self.take(msgpack.unpackb(body, strict_map_key=False))
+                self.take(record)
             except (ValueError, TypeError, IndexError) as fault:
-                raise StoreError(f"{path}: damaged at byte {at}: {fault}") from None
-            at = end
+                raise StoreError(f"{path}: damaged: record {number}: {fault}") from None
         if self.kept is None:
             raise StoreError(f"{path}: damaged: it does not begin with a state")
-        return at
+        return end
 
     def take(self, record: Any) -> None:
         """Takes in one record; raises ValueError where it does not follow from those before."""
--- a/pinward/lead/terms.py
+++ b/pinward/lead/terms.py
@@ -42,6 +42,7 @@
     NOTHING = 0  # a leader's first entry
     DECISION = 1
     MEMBERS = 2
+    DUTIES = 3  # changes of who owns what: pinward/owners/book.py
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +50,7 @@
     epoch: int
     index: int
     sort: Sort
-    body: Any  # None, a decision as plain data, or Members as plain data
+    body: Any  # None, or a decision, Members or changes of duties as plain data
 
 
 @dataclass(frozen=True)
--- a/pinward/net/front.py
+++ b/pinward/net/front.py
@@ -44,9 +44,10 @@
 
 
 class Front:
-    def __init__(self, branch: Branch, log: Log, cells: Any = None) -> None:
+    def __init__(self, branch: Branch, log: Log, cells: Any = None, duties: Any = None) -> None:
         self.branch, self.log, self.tasks = branch, log, Scheduler()
         self.cells = cells  # a `pinward.cells.door.Door` where customers are confined to cells
+        self.duties = duties  # `pinward.owners.watchers.FrontDuties` where it works for the fleet as well
         self.tasks.failed = self.failed
         self.judge = Judge(branch.terms, branch.seed, self.tasks.now())
         self.slack_s = branch.terms.answer_slack_s
@@ -76,6 +77,8 @@
         )  # fmt: skip
         self.ticker = spawn(self.tick)
         self.door = spawn(self.accept)
+        if self.duties is not None:
+            self.duties.join(self)
         if signals is not None:
             spawn(self.heed, signals, anew)
         self.log.say("start", listen=branch.listen, links_most=branch.links_most)
@@ -147,6 +150,17 @@
             ready=bool(entry.state),
         )
 
+    def known_nodes(self) -> dict[str, tuple[str, int]]:
+        """The nodes of the list, with their addresses."""
+        places = self.pool.places
+        return {name: places[node].where for name, node in self.nodes.items() if node in places}
+
+    def probed(self, name: str, well: bool) -> None:
+        """What an owner's probe found of a node, where that has changed."""
+        self.log.say("probed", node=name, well=well)
+        if (node := self.nodes.get(name)) is not None:
+            self.tell(self.judge.probed, node, well)
+
     def list_lost(self, why: str) -> None:
         self.log.say("list-lost", why=why)
         self.ready = True  # it serves with the list that it had
@@ -470,6 +484,8 @@
     def leave(self) -> None:
         """Takes what still comes, finishes what was taken, and ends."""
         self.leaving = True
+        if self.duties is not None:
+            self.duties.leave()
         began = self.accepted_at = self.tasks.now()
         self.log.say("leaving", clients=self.clients)
         while (now := self.tasks.now()) < min(self.accepted_at + LINGER_S, began + self.patience_s):
--- a/pinward/rules.py
+++ b/pinward/rules.py
@@ -514,12 +514,7 @@
             self.settles.add(now)
             self.lately[product].append(took)
         elif result is Result.UNREACHABLE or seat.bad_of(4) >= 3 or 0 < seat.aside_s <= now - seat.aside_at:
-            # Guards against failing, silent and unreachable nodes: aside ever longer, then one at a time.
-            arm = self.trial if seat in self.trial else self.older
-            spared = sum(s.aside_until > now for s in arm) < ASIDE_PART * len(arm)
-            if spared or result is Result.UNREACHABLE:
-                seat.aside_s = min(ASIDE_S[1], max(ASIDE_S[0], 2 * seat.aside_s))
-                seat.aside_at, seat.aside_until = now, now + seat.aside_s * self.chance.uniform(0.8, 1.2)
+            self.set_aside(now, seat, result is Result.UNREACHABLE)
         # Guards against blaming a build for the network: broken connections tell beside earlier nodes alone,
         # and of those that break in one period, as where a zone is lost, the first. Harm: crashes count once.
         fault, cold = result in (Result.FAULT, Result.SPOILT), sub.sent < seat.warm_at
@@ -528,6 +523,19 @@
         if good or fault or result is Result.SILENT:
             self.evidence.add(Sample(now, seat.node, product, result, fault, took, spent, cold))
 
+    def set_aside(self, now: float, seat: Seat, anyway: bool) -> None:
+        # Guards against failing, silent and unreachable nodes: aside ever longer, then one at a time.
+        arm = self.trial if seat in self.trial else self.older
+        if anyway or sum(s.aside_until > now for s in arm) < ASIDE_PART * len(arm):
+            seat.aside_s = min(ASIDE_S[1], max(ASIDE_S[0], 2 * seat.aside_s))
+            seat.aside_at, seat.aside_until = now, now + seat.aside_s * self.chance.uniform(0.8, 1.2)
+
+    def probed(self, now: float, node: Node, well: bool) -> None:
+        # Guards against each front finding out by its own txns. Harm: one unwell for the prober alone rests.
+        seat = self.seats.get(node)
+        if seat is not None and not well and not seat.settles.since(now - RATE_S):
+            self.set_aside(now, seat, False)
+
     def watched(self, now: float) -> bool:
         phase, early = self.release.phase, now <= self.stage_at + WATCH_S
         return phase is Phase.TRIAL or (early and phase is Phase.RELEASED)
--- a/pinward/settings/__init__.py
+++ b/pinward/settings/__init__.py
@@ -6,6 +6,8 @@
 
 from pinward.settings.grammar import Directive, Fault, FaultyFileError
 from pinward.settings.sheet import Block, read
-from pinward.settings.values import Address, Seconds, Share, Size
+from pinward.settings.values import Address, Name, Seconds, Share, Size
 
-__all__ = ["Address", "Block", "Directive", "Fault", "FaultyFileError", "Seconds", "Share", "Size", "read"]
+__all__ = [
+    "Address", "Block", "Directive", "Fault", "FaultyFileError", "Name", "Seconds", "Share", "Size", "read",
+]  # fmt: skip
--- a/pinward/settings/values.py
+++ b/pinward/settings/values.py
@@ -1,4 +1,4 @@
-"""What the words of a settings file stand for: times and sizes with units, addresses."""
+"""What the words of a settings file stand for: names, times and sizes with units, addresses."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 
 TIMES = {"us": 1e-6, "ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}  # seconds
 SIZES = {"B": 1, "KiB": 2**10, "MiB": 2**20, "GiB": 2**30}  # bytes
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 NUMBER = re.compile(r"(\d+(?:\.\d+)?)([A-Za-z]+)")
 
 
@@ -53,6 +54,14 @@
     return where
 
 
+def name(text: object) -> str:
+    """What stands for a process or a piece of work in files and words."""
+    if not isinstance(text, str) or not NAME.fullmatch(text):
+        raise ValueError(f"must be a name of letters, digits, dots and dashes, not {text!r}")
+    return text
+
+
+Name = Annotated[str, BeforeValidator(name)]
 Seconds = Annotated[float, BeforeValidator(seconds)]
 Size = Annotated[int, BeforeValidator(size)]
 Share = Annotated[float, BeforeValidator(share), Field(ge=0.0, le=1.0)]
--- a/standin/processes.py
+++ b/standin/processes.py
@@ -16,8 +16,10 @@
 class Process:
     """One command of pinward or of a stand-in, with its output in a file."""
 
-    def __init__(self, name: str, words: list[str], output: Path) -> None:
-        self.name, self.words, self.output = name, words, output
+    def __init__(
+        self, name: str, words: list[str], output: Path, env: dict[str, str] | None = None
+    ) -> None:
+        self.name, self.words, self.output, self.env = name, words, output, env or {}
         self.child: subprocess.Popen[bytes] | None = None
         self.paused = False
 
@@ -27,7 +29,7 @@
 
     def start(self) -> None:
         with self.output.open("ab") as output:
-            env = {**os.environ, "PYTHONDONTWRITEBYTECODE": "1"}
+            env = {**os.environ, "PYTHONDONTWRITEBYTECODE": "1", **self.env}
             words = [sys.executable, "-B", "-m", *self.words]
             self.child = subprocess.Popen(words, cwd=ROOT, env=env, stdout=output, stderr=output)
         self.paused = False
@@ -44,6 +46,18 @@
         self.signal(signal.SIGCONT)
         self.paused = False
 
+    def stopped(self) -> bool:
+        """True while the process is stopped by a signal, whoever sent it."""
+        return self.state() == "T"
+
+    def state(self) -> str:
+        """Its state as the kernel has it, empty where it is gone."""
+        try:
+            told = Path(f"/proc/{self.child.pid if self.child else 0}/stat").read_text()
+        except OSError:
+            return ""
+        return told.rpartition(")")[2].split()[0]
+
     def kill(self) -> None:
         self.signal(signal.SIGKILL)
         if self.child is not None:
