Fronts take part in probing; owners tested as real processes, with an example

Need: a user of ownership in the front itself, and each hard case caused among real processes. Change: where PINWARD_OWNERS names a file, a front probes its share of its list's nodes and sets aside what an owner's probe finds unwell (`Judge.probed`, by the same code as a node that fails here). `make owners` runs three instances, three members and four nodes. Tests: pauses between check and effect, late effects, stops as it asks and is answered, one-way cuts, leader and owner killed at once, hand-over amid a change of leader, older and emptied disks, a name twice, one-off work under kills, a full disk, damaged tokens, bad settings; the checker finds what no fence lets in. The module is unchanged where nobody probes.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: try build test lint run toy three
+.PHONY: try build test lint run toy three owners
 
 try: build  ## sets up all that is needed and runs a front before the toy fleet
 	.venv/bin/python -B example/toy.py --front
@@ -21,3 +21,7 @@
 
 toy:
 	python3 example/toy.py
+
+owners:  ## sets up all that is needed and runs three instances and three members that share probing
+	sh deploy/test setup
+	.venv-test/bin/python -B example/owners.py
--- a/pinward/__main__.py
+++ b/pinward/__main__.py
@@ -43,11 +43,10 @@
             return 2
     duties = None
     if path := os.environ.get("PINWARD_OWNERS"):  # likewise
-        from pinward import logs
         from pinward.owners.watchers import open_duties
 
         try:
-            duties = open_duties(path, logs.logger(front=branch.name))
+            duties = open_duties(path)
         except ValueError as fault:
             print(f"pinward: {fault}", file=sys.stderr)
             return 2
--- a/pinward/owners/watchers.py
+++ b/pinward/owners/watchers.py
@@ -29,17 +29,29 @@
     return Probing(tasks, member, p.name, p.parts, p.period, p.path, lambda: nodes, changed)
 
 
+class FrontLog:
+    """The front's own log, which never waits for its reader, as members use one."""
+
+    def __init__(self, front: Any) -> None:
+        self.front = front
+
+    def info(self, event: str, **facts: Any) -> None:
+        self.front.log.say(event, **facts)
+
+    error = info
+
+
 class FrontDuties:
     """A front as a member: what it owns for others, and what it hears of nodes."""
 
-    def __init__(self, told: MemberFile, log: Any) -> None:
-        self.told, self.log = told, log
+    def __init__(self, told: MemberFile) -> None:
+        self.told = told
         self.member: Member | None = None
         self.probing: Probing | None = None
 
     def join(self, front: Any) -> None:
         """Begins to renew on the front's scheduler, once it has its list."""
-        self.member = Member(front.tasks, self.told, self.log)
+        self.member = Member(front.tasks, self.told, FrontLog(front))
         if self.told.probe is not None:
             p = self.told.probe
             self.probing = Probing(
@@ -52,6 +64,6 @@
             self.member.leave()
 
 
-def open_duties(path: str, log: Any) -> FrontDuties:
+def open_duties(path: str) -> FrontDuties:
     """The duties that a member's file tells a front of; raises FaultyFileError."""
-    return FrontDuties(read(path, MemberFile), log)
+    return FrontDuties(read(path, MemberFile))
--- a/standin/installation.py
+++ b/standin/installation.py
@@ -136,6 +136,11 @@
             await asyncio.sleep(0.01)
         return None
 
+    async def shown_by_leader(self) -> dict[str, Any]:
+        """Who owns what, as the leader knows; empty where nobody leads."""
+        name = await self.who_acts()
+        return (await self.ask(name, do="owners", what="show") if name else None) or {}
+
     async def until(self, fact: Callable[[], Any], seconds: float) -> bool:
         """Waits until a fact holds, sync or async; False where it does not in time."""
         end = time.monotonic() + seconds
@@ -234,8 +239,8 @@
                 process.start()
 
     async def close(self) -> None:
-        for process in self.processes.values():
-            process.end()
+        # In threads, since the links between those that still speak run on this loop.
+        await asyncio.gather(*(asyncio.to_thread(process.end) for process in self.processes.values()))
         await self.net.close()
 
 
--- a/standin/owners_trial.py
+++ b/standin/owners_trial.py
@@ -11,7 +11,7 @@
 import json
 import time
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from random import Random
 from typing import Any, TextIO
@@ -96,10 +96,6 @@
     def record(self, target: str) -> Path:
         return self.folder / f"{target}.record"
 
-    async def shown_by_leader(self) -> dict[str, Any]:
-        name = await self.who_acts()
-        return (await self.ask(name, do="owners", what="show") if name else None) or {}
-
     async def owner(self) -> str:
         """A member that owns something now, or any."""
         parts = (await self.shown_by_leader()).get("parts", {})
@@ -169,16 +165,27 @@
         elif what in ("older-disk", "emptied"):
             kept = self.copy_disk(name) if what == "older-disk" else None
             await self.kill([name], 0.1)
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(2.5 * HOLD_S)  # until the new start is in the log
             self.processes[name].kill()
             self.put_back(name, kept)
             self.processes[name].start()
+            struck = await self.until(self.reported(what), 4 * HOLD_S)
         elif what == "target-down":
             await self.kill([self.chance.choice(self.targets)], min(for_s, 0.5))
         elif what == "reset":
             self.reset(name, [*self.names, *self.targets])
         self.struck[what] += struck
 
+    def reported(self, what: str) -> Callable[[], Any]:
+        """True once an instance has said what became of a disk, once more than it had."""
+        words = {"older-disk": "an older copy of its disk", "emptied": "another disk than before"}[what]
+
+        def said() -> int:
+            return max((self.folder / f"{n}.log").read_text().count(words) for n in self.names)
+
+        before = said()
+        return lambda: said() > before
+
     def died(self, name: str) -> None:
         self.takeovers.append((name, time.monotonic()))
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -545,6 +545,21 @@
                 play.say(f"{' '.join(sorted(used))}{', the slow one too' if slow.name in used else ''}")
         compare(self, "nodes-used", [line for line in play.lines if "txn" not in line])
 
+    def test_probed(self) -> None:
+        """A node that a probe found unwell gets nothing for a while, unless its txns settle here."""
+        play = Play({"a": 1, "b": 1})
+        play.judge.probed(play.now, play.nodes["a"], False)
+        play.judge.probed(play.now, play.nodes["b"], True)
+        for _ in range(4):
+            play.take(LOOK)
+            play.end()
+        play.say("b, whose txns settle, is said to be unwell")
+        play.judge.probed(play.now, play.nodes["b"], False)
+        for _ in range(2):
+            play.take(LOOK)
+            play.end()
+        compare(self, "probed", play.lines)
+
     def test_all_slow(self) -> None:
         """Once answers take long, a front with hardly any traffic has one txn open and holds the next."""
         play = Play({f"n{i}": 1 for i in range(6)}, fronts=400)
