--- a/pinward/command/lead.py
+++ b/pinward/command/lead.py
@@ -179,7 +179,7 @@
     figures = rig("lead_trial").play_all(range(first, first + seeds), instances, seconds, sys.stderr)
     keep(figures, into)
     show({name: value for name, value in figures.items() if name != "runs"}, as_json=False)
-    return 1 if any(figures["broken"].values()) else 0
+    return 1 if any(figures["broken"].values()) or figures["never_struck"] else 0
 
 
 @lead.command()
--- a/pinward/lead/teller.py
+++ b/pinward/lead/teller.py
@@ -16,6 +16,7 @@
 
 import orjson
 
+from pinward import points
 from pinward.lead.core import Core
 from pinward.lead.ledger import Ledger, Placed
 from pinward.net.ring import Link, connect
@@ -138,6 +139,7 @@
                 continue
             if not lead.acts() or lead.core.epoch != epoch:
                 return  # the moment of acting: whatever has changed since, nothing is said
+            points.reach("saying")
             link.send(data, tasks.now() + ANSWER_S)
             for _ in range(count):
                 if not self.heard(self.answer(link), epoch):
--- a/pinward/owners/__init__.py
+++ b/pinward/owners/__init__.py
@@ -6,6 +6,6 @@
 clock at the moment of acting. These four, the core, are without I/O, clock and unseeded chance. Who takes an
 effect compares tokens with `lead/fence.py`. `file.py` reads the settings, `office.py` brings the
 steward into a control instance, `member.py` a holder into a front or, by `process.py`, a process alone;
-`probing.py` is work done so and `watchers.py` begins it. `points.py` stops a process where a rig wants it.
+`probing.py` is work done so and `watchers.py` begins it.
 `simulated.py` plays many members in simulated time, `model.py` explores. Why: docs/design/owners.md.
 """
--- a/pinward/owners/member.py
+++ b/pinward/owners/member.py
@@ -21,12 +21,12 @@
 import msgpack
 import orjson
 
+from pinward import points
 from pinward.lead.fence import Answer, Fence, Fences
 from pinward.lead.store import StoreError, packed, unpacked, write_whole
 from pinward.lead.teller import read_line
 from pinward.net.ring import Link, connect
 from pinward.net.scheduler import Scheduler, Task
-from pinward.owners import points
 from pinward.owners.file import MemberFile
 from pinward.owners.holder import Holder
 from pinward.owners.terms import Incarnation, duty_of
--- a/pinward/owners/points.py
+++ b/pinward/points.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 FOLDER = Path(told) if (told := os.environ.get("PINWARD_POINTS")) else None
-NAMES = ("asked", "answered", "checked", "telling", "admitted")
+NAMES = ("asked", "answered", "checked", "telling", "admitted", "saying")
 
 
 def reach(point: str) -> None:
--- a/standin/installation.py
+++ b/standin/installation.py
@@ -94,7 +94,8 @@
         for name in self.names:
             await self.proxy(name, PORT)
             await self.net.proxy(name, (self.shown(name), DESK_PORT), (self.own(name), DESK_PORT))
-            self.add(name, ["pinward", "lead", "run", "--new", str(self.write_instance(name, more))])
+            words = ["pinward", "lead", "run", "--new", str(self.write_instance(name, more))]
+            self.add(name, words, PINWARD_POINTS=str(self.points(name)))
 
     def start_all(self) -> None:
         for process in self.processes.values():
--- a/standin/lead_scale.py
+++ b/standin/lead_scale.py
@@ -16,7 +16,8 @@
 from pinward.lead.simulated import Installation
 from pinward.lead.terms import Role
 from standin.applier import Applier, Record
-from standin.lead_trial import DESK_PORT, Trial, spread
+from standin.installation import DESK_PORT, spread
+from standin.lead_trial import Trial
 
 DECISIONS = 50
 KILLS = 100
@@ -115,9 +116,7 @@
     finally:
         for task in tasks:
             task.cancel()
-        for process in trial.processes.values():
-            process.end()
-        await trial.net.close()
+        await trial.close()
         shutil.rmtree(folder, ignore_errors=True)
 
 
--- a/standin/target.py
+++ b/standin/target.py
@@ -16,9 +16,9 @@
 import time
 from pathlib import Path
 
+from pinward import points
 from pinward.lead.fence import Answer
 from pinward.lead.store import StoreError
-from pinward.owners import points
 from pinward.owners.member import Tokens
 
 
--- a/tests/test_lead_whole.py
+++ b/tests/test_lead_whole.py
@@ -19,7 +19,8 @@
 from pinward.net.platform import Platform
 from pinward.net.scheduler import Scheduler
 from pinward.terms import Kind, Phase, Product, Release, Reply, Verdict
-from standin.lead_trial import check_records, play_seed, rows
+from standin.installation import rows
+from standin.lead_trial import Player, check_records
 from standin.processes import ROOT, Process, until
 
 PORT, DESK, APPLIER = 7701, 7702, 7703
@@ -307,9 +308,9 @@
 
 class Trial(unittest.TestCase):
     def test_a_seed_of_the_trial(self) -> None:
-        figures = play_seed(7, 3, 5.0, slot=91)
-        self.assertEqual(figures.broken, {})
-        self.assertGreater(figures.applied, 20)
+        figures = Player(3, 5.0)(7, 91)
+        self.assertEqual(figures["broken"], {})
+        self.assertGreater(figures["applied"], 20)
 
 
 class Commands(unittest.TestCase):
