Clocks of the trial run fast and slow, and far beyond what is told on a side of its own

Need: a trial whose clocks all run alike says nothing of `skew`. Both simulations share their queue of events, the two examples what runs processes.

--- a/example/owners.py
+++ b/example/owners.py
@@ -8,13 +8,12 @@
 
 from __future__ import annotations
 
-import subprocess
 import sys
 import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
-from pathlib import Path
 
-ROOT = Path(__file__).parent.parent
+from three import instances, run
+
 NODE_PORTS = (7741, 7742, 7743, 7744)
 
 
@@ -34,18 +33,8 @@
     for port in NODE_PORTS:
         server = ThreadingHTTPServer(("127.0.0.1", port), Node)
         threading.Thread(target=server.serve_forever, daemon=True).start()
-    children = []
-    for name in ("i1", "i2", "i3"):
-        made = any((ROOT / "build/owners" / name).glob("state.*"))
-        words = ["lead", "run", *([] if made else ["--new"]), f"example/owners/{name}.conf"]
-        children.append(subprocess.Popen([sys.executable, "-B", "-m", "pinward", *words], cwd=ROOT))
-    for name in ("f1", "f2", "f3"):
-        words = ["owners", "run", f"example/owners/{name}.conf"]
-        children.append(subprocess.Popen([sys.executable, "-B", "-m", "pinward", *words], cwd=ROOT))
-    try:
-        return max(child.wait() for child in children)
-    except KeyboardInterrupt:  # it reached them too: each hands over and ends
-        return max(child.wait() for child in children)
+    members = [["owners", "run", f"example/owners/{name}.conf"] for name in ("f1", "f2", "f3")]
+    return run([*instances("owners"), *members])
 
 
 if __name__ == "__main__":
--- a/pinward/lead/simulated.py
+++ b/pinward/lead/simulated.py
@@ -9,12 +9,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
-from heapq import heappop, heappush
-from itertools import count
 from math import inf
 from random import Random
 from typing import Any
 
+from pinward.events import Events
 from pinward.lead.core import Core
 from pinward.lead.fence import Answer, Fence
 from pinward.lead.ledger import Decision, Ledger
@@ -45,17 +44,16 @@
     saved_at: float = 0.0  # when the last save asked for is done: a disk takes them in turn
 
 
-class Installation:
+class Installation(Events):
     """Instances, the links between them, and one that applies."""
 
     def __init__(self, size: int, seed: int, pace: Pace = PACE, learners: int = 0) -> None:
-        self.chance, self.pace, self.now = Random(seed), pace, 0.0
+        super().__init__()
+        self.chance, self.pace = Random(seed), pace
         self.names = [f"i{n}" for n in range(size)]
         voters = frozenset(self.names[: size - learners])
         where = tuple((n, "127.0.0.1:1") for n in self.names)
         self.members = Members(voters, frozenset(self.names) - voters, where)
-        self.events: list[tuple[float, int, Callable[[], None]]] = []
-        self.order = count()
         self.cut: set[tuple[str, str]] = set()  # from, to
         self.delay_s, self.save_s, self.loss = 0.005, 0.002, 0.0
         self.actors: dict[str, Actor] = {}
@@ -72,15 +70,6 @@
 
     # What happens when.
 
-    def at(self, when: float, what: Callable[[], None]) -> None:
-        heappush(self.events, (when, next(self.order), what))
-
-    def run(self, until: float) -> None:
-        while self.events and self.events[0][0] <= until:
-            self.now, _, what = heappop(self.events)
-            what()
-        self.now = until
-
     def local(self, actor: Actor) -> float:
         return actor.offset + self.now * actor.rate
 
--- a/pinward/owners/simulated.py
+++ b/pinward/owners/simulated.py
@@ -9,12 +9,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
-from heapq import heappop, heappush
-from itertools import count
 from math import inf
 from random import Random
 from typing import Any
 
+from pinward.events import Events
 from pinward.lead.fence import Answer, Fences
 from pinward.owners.book import Book
 from pinward.owners.holder import Hold, Holder
@@ -67,17 +66,16 @@
     takeovers_s: list[float] = field(default_factory=list)
 
 
-class World:
+class World(Events):
     def __init__(
         self, seed: int, terms: Terms, members: int, skew: float | None = None, fenced: bool = True,
         zones: tuple[str, ...] = (), act_s: float = 0.0, stall: float = 0.0,
     ) -> None:  # fmt: skip
+        super().__init__()
         self.chance, self.terms, self.pace = Random(seed), terms, terms.pace
         self.skew = self.pace.skew if skew is None else skew
         self.fenced, self.act_s = fenced, act_s
         self.stall = stall  # share of effects held back after the check
-        self.now, self.order = 0.0, count()
-        self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.delay_s, self.commit_s = 0.01, 0.02
         self.lost: set[str] = set()  # members whose words do not arrive, either way
         self.book, self.index = Book(), 1
@@ -96,15 +94,6 @@
 
     # What happens when.
 
-    def at(self, when: float, what: Callable[[], None]) -> None:
-        heappush(self.events, (when, next(self.order), what))
-
-    def run(self, until: float) -> None:
-        while self.events and self.events[0][0] <= until:
-            self.now, _, what = heappop(self.events)
-            what()
-        self.now = until
-
     def local(self, actor: Actor | Leader) -> float:
         return actor.offset + self.now * actor.rate
 
--- a/standin/installation.py
+++ b/standin/installation.py
@@ -70,7 +70,9 @@
         self.net.names[self.own(name)] = name
         await self.net.proxy(name, (self.shown(name), port), (self.own(name), port))
 
-    def add(self, name: str, words: list[str], **env: str) -> Process:
+    def add(self, name: str, words: list[str], rate: float = 1.0, **env: str) -> Process:
+        """A process to be started; its monotonic clock runs at a rate of true time."""
+        words = ["standin.skewed", f"{rate:.4f}", *words] if rate != 1.0 else words
         self.processes[name] = Process(name, words, self.folder / f"{name}.log", env)
         return self.processes[name]
 
@@ -90,12 +92,12 @@
         path.write_text("\n".join(lines) + "\n")
         return path
 
-    async def add_instances(self, more: list[str]) -> None:
+    async def add_instances(self, more: list[str], rates: dict[str, float] | None = None) -> None:
         for name in self.names:
             await self.proxy(name, PORT)
             await self.net.proxy(name, (self.shown(name), DESK_PORT), (self.own(name), DESK_PORT))
             words = ["pinward", "lead", "run", "--new", str(self.write_instance(name, more))]
-            self.add(name, words, PINWARD_POINTS=str(self.points(name)))
+            self.add(name, words, (rates or {}).get(name, 1.0), PINWARD_POINTS=str(self.points(name)))
 
     def start_all(self) -> None:
         for process in self.processes.values():
--- a/standin/owners_trial.py
+++ b/standin/owners_trial.py
@@ -1,8 +1,9 @@
 """The trial of owners: control instances, members and targets as real processes under faults, and a checker.
 
-Three sides run side by side on the same steps: sound, `unfenced` (targets compare no tokens) and `unleased`
-(members act on belief, whatever their clock says, with targets that compare). The checker reads only what the
-targets wrote down, and which one-off work was ended.
+Sides run on the same steps: sound, with clocks that run up to `skew` fast or slow; `beyond`, with clocks far
+outside it, where tokens alone must hold; `unfenced` (targets compare no tokens); `unleased` (members act on
+belief, whatever their clock says, with targets that compare). The checker reads only what the targets wrote
+down, and which one-off work was ended.
 """
 
 from __future__ import annotations
@@ -34,7 +35,8 @@
     "target-down", "kill-all", "reset", "cut-targets",
 )  # fmt: skip
 ALWAYS = ("stop-checked", "late-effect", "older-disk", "kill-both", "twice")  # strike in every seed
-SIDES = ("sound", "unfenced", "unleased")
+SIDES = ("sound", "beyond", "unfenced", "unleased")
+SKEW, BEYOND = 0.1, 0.5  # of the settings; and what clocks are off by on that side
 ONCE = 3  # pieces of one-off work a seed
 
 
@@ -56,6 +58,9 @@
         self.seconds, self.side, self.chance = seconds, side, Random(seed + 1)
         self.members = [f"m{n}" for n in range(1, MEMBERS + 1)]
         self.targets = [f"t{n}" for n in range(1, TARGETS + 1)]
+        off, chance = BEYOND if side == "beyond" else SKEW, Random(seed + 2)
+        clocked = [*self.names, *self.members]
+        self.rates = {name: chance.choice([1 - off, 1.0, 1 + off]) for name in clocked}
         self.takeovers: list[tuple[str, float]] = []  # members that died, and when
         self.ended: set[str] = set()
         self.refusals = 0
@@ -79,10 +84,10 @@
         takers = [f"{self.shown(t)}:{TAKER_PORT}" for t in self.targets]
         words = ["standin.owning", str(self.write_member(name, as_name)), *takers]
         words += ["--unleased"] if self.side == "unleased" else []
-        self.add(name, words, PINWARD_POINTS=str(self.points(name)))
+        self.add(name, words, self.rates.get(name, 1.0), PINWARD_POINTS=str(self.points(name)))
 
     async def set_up(self) -> None:
-        await self.add_instances(SETTINGS)
+        await self.add_instances(SETTINGS, self.rates)
         for t in self.targets:
             await self.proxy(t, TAKER_PORT)
             words = ["standin.target", f"{self.own(t)}:{TAKER_PORT}"]
--- a/tests/test_owners_whole.py
+++ b/tests/test_owners_whole.py
@@ -167,6 +167,16 @@
         answer = await play.ask(leader, do="owners", what="history", most=500)
         return " ".join(row[5] for row in (answer or {}).get("history", []))
 
+    async def test_clocks_beyond_skew(self) -> None:
+        """Clocks half as fast and half as slow again: tokens alone keep effects in order."""
+        play = await self.begin("beyond")
+        for _ in range(2):
+            name, _ = await self.owner_of(play, "watch")
+            await play.late_effect(name or "m1", 0.5)
+            await play.pause(name or "m1", 2 * HOLD_S)
+        self.assertTrue(await play.until(play.all_owned, 15.0))
+        self.sound(play)
+
     async def test_one_off_work(self) -> None:
         """Its owner is killed again and again: the next goes on where the record stands, no step twice."""
         play = await self.begin()
