--- a/standin/owners_trial.py
+++ b/standin/owners_trial.py
@@ -63,7 +63,7 @@
         self.rates = {name: chance.choice([1 - off, 1.0, 1 + off]) for name in clocked}
         self.takeovers: list[tuple[str, float]] = []  # members that died, and when
         self.ended: set[str] = set()
-        self.refusals = 0
+        self.copies = 0  # machines that were copied
 
     # Setting up.
 
@@ -209,7 +209,8 @@
 
     async def twice(self, name: str) -> bool:
         """A second process under a member's name, on a copy of its disk; it must get nothing."""
-        copied = f"m{MEMBERS + 1 + self.struck['twice']}"
+        self.copies += 1
+        copied = f"m{MEMBERS + self.copies}"
         self.copy_disk(name).rename(self.folder / copied)
         self.add_member(copied, as_name=name)
         self.processes[copied].start()
