Signals as bytes on a socket are set up by one piece for all commands and the rig

Cause: the same lines stood in `pinward lead run`, `pinward owners run` and the rig's worker. Behaviour is the same.

--- a/pinward/command/lead.py
+++ b/pinward/command/lead.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import signal
-import socket
 import sys
 from pathlib import Path
 from typing import Any
@@ -18,6 +17,7 @@
 from pinward.lead.store import Store, StoreError
 from pinward.owners.book import Book
 from pinward.settings import read
+from pinward.signals import told_of
 
 def asked_of(file: str, **asked: object) -> dict[str, Any]:
     """What the instance of a settings file answers; raises NotHeldError where it does not run."""
@@ -59,11 +59,7 @@
         raise click.UsageError("--from goes with --new")
     office = read(file, LeadFile)
     state = state_of(snapshot, len(office.stage)) if snapshot else None
-    told, teller = socket.socketpair()
-    teller.setblocking(False)
-    signal.set_wakeup_fd(teller.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
-        signal.signal(number, lambda *_: None)  # each comes as a byte, its number, on `told`
+    told = told_of(signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
     log = logs.logger(instance=office.name)
     store = Store(office.state)
     try:
--- a/pinward/command/owners.py
+++ b/pinward/command/owners.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import signal
-import socket
 import sys
 from pathlib import Path
 from typing import Any
@@ -16,6 +15,7 @@
 from pinward.lead.store import StoreError
 from pinward.owners.file import MemberFile
 from pinward.settings import read
+from pinward.signals import told_of
 
 MEMBER = click.argument("member_file", metavar="MEMBER", type=click.Path())
 
@@ -141,11 +141,7 @@
     from pinward.owners.process import Process
     from pinward.owners.watchers import register
 
-    told, teller = socket.socketpair()
-    teller.setblocking(False)
-    signal.set_wakeup_fd(teller.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: None)  # each comes as a byte, its number, on `told`
+    told = told_of(signal.SIGTERM, signal.SIGINT)
     file = read(member_file, MemberFile)
     log = logs.logger(member=file.name)
     try:
--- a/standin/owning.py
+++ b/standin/owning.py
@@ -9,7 +9,6 @@
 
 import argparse
 import signal
-import socket
 import sys
 
 from pinward import logs
@@ -21,6 +20,7 @@
 from pinward.owners.terms import duty_of
 from pinward.lead.teller import read_line
 from pinward.settings import read
+from pinward.signals import told_of
 
 PERIOD_S = 0.02  # s between effects on a part
 ANSWER_S = 1.0  # s that a target may take
@@ -94,11 +94,7 @@
 
 
 def main(words: argparse.Namespace) -> int:
-    told, teller = socket.socketpair()
-    teller.setblocking(False)
-    signal.set_wakeup_fd(teller.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: None)
+    told = told_of(signal.SIGTERM, signal.SIGINT)
     logs.start()
     targets = [place(target) for target in words.targets]
     file = read(words.file, MemberFile)
