--- /dev/null
+++ b/pinward/annunciator.py
@@ -0,0 +1,70 @@
+"""Numbered log events of the gateway: one table, from which docs/operate/events.md is made.
+
+A line is `NUMBER name key=value ...`, written by logbook to standard error. Values are short texts or numbers;
+bodies, headers of clients and configurations never come here.
+"""
+
+from __future__ import annotations
+
+import sys
+from typing import NamedTuple
+
+import logbook
+
+TEXT_MOST = 160  # characters of a value: a line stays one write
+
+
+class Event(NamedTuple):
+    """One kind of event: its level, what it means and what to do."""
+
+    level: str
+    name: str
+    meaning: str
+    action: str
+
+
+EVENTS: dict[int, Event] = {
+    100: Event("INFO", "started", "A process is up; the addresses it serves.", "Nothing."),
+    101: Event("INFO", "stopping", "SIGTERM came; what was read is finished first.", "Nothing."),
+    102: Event("INFO", "ended", "A process has ended in order.", "Nothing."),
+    103: Event("INFO", "settings read", "The settings file was read anew.", "Nothing."),
+    104: Event("ERROR", "settings faulty", "The settings file is wrong; what was in force stays.", "Mend it."),
+    110: Event("ERROR", "fault in a handler", "A request or word met a fault in the program.", "Report it."),
+    200: Event("INFO", "view chosen", "A majority accepted a view; this machine leads it.", "Nothing."),
+    201: Event("WARNING", "standing", "No primary was heard; this machine stands for one.",
+               "Look at the primary's machine where it lasts."),
+    202: Event("WARNING", "stepped down", "The primary lost its majority or its disk hung.",
+               "Look at links among core machines, then at the disk."),
+    203: Event("WARNING", "disk empty", "The disk was lost; this machine votes once it was taught.",
+               "Nothing within the catch-up time; then look for a primary."),
+    204: Event("INFO", "taught", "A machine that had lost its disk counts again.", "Nothing."),
+    205: Event("ERROR", "disk failed", "A write was refused or a generation is damaged.", "Replace the disk."),
+    210: Event("INFO", "plan taken", "A configuration is durable and in force.", "Nothing."),
+    211: Event("WARNING", "plan refused", "An invalid configuration was refused.", "Tell its owner the reason."),
+    220: Event("INFO", "roll-out moved", "A roll-out changed its phase.", "Read the evidence in the line."),
+    230: Event("INFO", "machine told", "A machine is new, drains, is gone or silent.", "Nothing."),
+    300: Event("INFO", "session up", "A front stands with a control front.", "Nothing."),
+    301: Event("WARNING", "session down", "The session ended; another control front is sought.",
+               "Look at the control front where it repeats."),
+    302: Event("INFO", "plan in force", "A front puts calls through by this version.", "Nothing."),
+    303: Event("INFO", "ready", "A front tells the platform that it is ready, or no longer.", "Nothing."),
+    310: Event("WARNING", "spoilt answer", "A machine's answer was no answer to its request.",
+               "Look at the machine where it repeats."),
+    311: Event("INFO", "line left out", "A machine is left out after failures.", "Look at the machine."),
+    320: Event("INFO", "trial vote", "A front votes on a build, with its evidence.", "Nothing."),
+}  # fmt: skip
+
+LOG = logbook.Logger("pinward")
+
+
+def start(name: str) -> None:
+    """Sets up the log of this process on standard error."""
+    form = "{record.time:%H:%M:%S.%f} " + name + " {record.level_name} {record.message}"
+    logbook.StreamHandler(sys.stderr, level="INFO", format_string=form).push_application()
+
+
+def ring(number: int, **facts: object) -> None:
+    """Writes event `number` of the table."""
+    event = EVENTS[number]
+    told = " ".join(f"{key}={str(value)[:TEXT_MOST]}" for key, value in facts.items())
+    LOG.log(event.level, "{} {} {}", number, event.name, told)
--- /dev/null
+++ b/pinward/exchange/__main__.py
@@ -0,0 +1,35 @@
+"""The program of a control front, told its place by PINWARD_BOOT. SIGTERM ends it in order."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import time
+
+from pinward.annunciator import ring, start
+from pinward.exchange.host import Exchange, open_vault
+from pinward.plan.boot import Boot, read_boot
+
+
+async def serve(boot: Boot) -> None:
+    stop, loop = asyncio.Event(), asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    vault, kept = open_vault(boot)
+    await Exchange(boot, vault, kept, time.monotonic()).run(stop)
+    ring(102)
+
+
+def main() -> int:
+    boot = read_boot()
+    if boot.is_err():
+        print(f"pinward exchange: {boot.unwrap_err()}", file=sys.stderr)
+        return 2
+    start(boot.unwrap().name)
+    asyncio.run(serve(boot.unwrap()))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/pinward/switchboard/call.py
@@ -0,0 +1,134 @@
+"""The life of one client's request, from its reading to its final answer: a state machine without I/O.
+
+`Call.next` says what to do: send to a machine, or answer. A request goes to another machine only where it may
+run again or has provably not run, within its route's tries, the budget and the time left.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, auto
+from math import inf
+
+from pinward.plan.routes import Route
+from pinward.switchboard.lines import Lines, Machine
+from pinward.switchboard.verdict import NEVER_RAN, Ending, Verdict
+from pinward.tally.tries import Tries
+from pinward.trial.front import Trial
+
+AGAIN_PART = 0.5  # of the service's usual time that must be left for a further try to be of use
+BACK_S = (0.1, 0.3)  # s after which a client is told to come back, drawn: they come spread
+LEAST_S = 0.004  # s below which nothing is sent any more: a machine would be asked in vain
+
+
+class State(Enum):
+    TAKEN = auto()
+    SENT = auto()
+    ENDED = auto()
+
+
+MOVES = {State.TAKEN: (State.SENT, State.ENDED), State.SENT: (State.TAKEN,)}
+
+
+@dataclass
+class Send:
+    """Send to this machine now; `allow_s` is what is left of the client's time."""
+
+    machine: Machine
+    allow_s: float
+    trial: bool
+
+
+@dataclass
+class Reply:
+    """The final answer: the machine's, or one of our own with `status`."""
+
+    status: int
+    ending: Ending | None = None
+    back_s: float | None = None
+
+
+class Call:
+    def __init__(self, route: Route, service: str, taken: float, allow_s: float) -> None:
+        self.route, self.service, self.taken = route, service, taken
+        self.until = taken + min(allow_s, route.timeout_s)
+        self.state = State.TAKEN
+        self.tried: list[Machine] = []
+        self.last: Ending | None = None
+        self.ran = False  # a send of it may have run
+        self.streams = False  # its body is gone once it was sent
+        self.sending: Send | None = None
+        self.sent_at = -inf
+
+    def move(self, state: State) -> None:
+        """The one place where a call changes its state."""
+        if state not in MOVES.get(self.state, ()):
+            raise ValueError(f"a call cannot go from {self.state.name} to {state.name}")
+        self.state = state
+
+    def next(self, now: float, lines: Lines, tries: Tries, trial: Trial | None) -> Send | Reply:
+        """What to do now."""
+        left = self.until - now
+        if self.tried and not self.again(now, lines, tries):
+            return self.reply(lines)
+        if left < LEAST_S:
+            self.move(State.ENDED)
+            return Reply(504 if self.ran else 503, back_s=None if self.ran else lines.chance.uniform(*BACK_S))
+        machine, new = None, False
+        service = lines.services.get(self.service)
+        if trial is not None and service is not None:
+            if not self.tried:
+                trial.take(service.part())
+            if trial.wants(lines.fronts):
+                some = max(1, round(trial.bounds.trial_cap * len(service.base)))
+                machine = lines.pick(now, self.service, self.tried, True, some)
+                new = machine is not None
+        machine = machine or lines.pick(now, self.service, self.tried)
+        if machine is None:
+            return self.reply(lines)
+        if trial is not None:
+            trial.sends(new)
+        if self.tried:
+            tries.spend(now)
+        self.tried.append(machine)
+        lines.begin(machine)
+        self.move(State.SENT)
+        self.sending, self.sent_at = Send(machine, left, new), now
+        return self.sending
+
+    def again(self, now: float, lines: Lines, tries: Tries) -> bool:
+        """True where another machine may be tried."""
+        last = self.last
+        if last is None or self.streams or len(self.tried) >= self.route.tries:
+            return False
+        if last.verdict is Verdict.RAN and (last.status < 500 or not self.route.repeatable):
+            return False
+        if self.ran and not self.route.repeatable:
+            return False
+        service = lines.services.get(self.service)
+        useful = service is not None and self.until - now > AGAIN_PART * service.usual_s
+        return useful and tries.may(now, lines.fronts)
+
+    def ended(self, now: float, lines: Lines, ending: Ending, trial: Trial | None) -> None:
+        """The send ended."""
+        sending = self.sending
+        assert sending is not None
+        took = now - self.sent_at
+        lines.end(now, sending.machine, ending, took)
+        self.ran = self.ran or ending.verdict not in NEVER_RAN
+        if trial is not None and ending.verdict is Verdict.RAN:
+            cold = now < sending.machine.warm_at
+            goal_s = self.route.goal_s or self.route.timeout_s
+            trial.ended(now, sending.trial, self.route.name, ending.status >= 500, took, goal_s, cold)
+        self.last, self.sending = ending, None
+        self.move(State.TAKEN)
+
+    def reply(self, lines: Lines) -> Reply:
+        """The answer where nothing more is sent."""
+        self.move(State.ENDED)
+        last = self.last
+        if last is not None and last.verdict is Verdict.RAN:
+            return Reply(last.status, last)
+        if not self.ran:
+            return Reply(503, back_s=lines.chance.uniform(*BACK_S))
+        return Reply(504 if last is not None and last.what == "silent" else 502)
--- /dev/null
+++ b/pinward/switchboard/host.py
@@ -0,0 +1,238 @@
+"""A front on sockets: takes clients' requests, puts them through to machines, and says whether it is ready."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+from collections.abc import AsyncIterator
+from random import Random
+from typing import Any
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from pinward.annunciator import ring
+from pinward.plan.boot import Boot
+from pinward.switchboard.call import Call, Reply, Send
+from pinward.switchboard.lines import Lines
+from pinward.switchboard.verdict import Ending
+from pinward.switchboard.wire import DEADLINE, NOT_RUN, WANT, Wire, passed_on
+from pinward.tally.tries import Tries
+from pinward.trial.front import Trial
+from pinward.trial.order import Stage
+from pinward.trunk.session import Known, Session
+
+STEP_S = 0.1  # s between looks at what time changes
+HELD_MOST = 256 * 1024  # bytes of a request's body held whole, so that it can be sent again
+DEADLINE_S = 30.0  # s a client waits that does not say how long
+UNKNOWN_S = 0.3  # s after which a client is told to come back to a front that knows no configuration yet
+BLIND_S = 4.0  # s until a front that finds no control front with a primary serves by what it knows
+LAST_S = 1.2  # s before the grace ends in which connections are closed
+LISTEN = 1024  # connections that wait to be taken
+
+
+class Switchboard:
+    def __init__(self, boot: Boot) -> None:
+        self.boot, self.life = boot, os.urandom(6).hex()
+        self.chance = Random(self.life)
+        self.known = Known(boot, self.life)
+        self.lines = Lines(boot.zone, self.life)
+        self.tries: dict[str, Tries] = {}
+        self.trials: dict[str, Trial] = {}
+        self.session = Session(boot, self.known, self.life, self.reports, self.changed)
+        self.wire: Wire | None = None
+        self.ready = self.leaving = False
+        self.open = 0
+        self.began = 0.0
+
+    @staticmethod
+    def now() -> float:
+        return asyncio.get_running_loop().time()
+
+    # What is known.
+
+    def changed(self) -> None:
+        now, plan = self.now(), self.known.plan
+        limits = {name: service.connections for name, service in plan.services.items()} if plan else {}
+        self.lines.fronts = self.known.fronts
+        entries = [line.entry for line in self.known.book.lines.values()]
+        self.lines.learn(now, entries, self.known.orders, limits)
+        for service, order in self.known.orders.items():
+            held = self.trials.get(service)
+            if order.stage is not Stage.SERVING:
+                self.trials.pop(service, None)
+            elif held is None or held.order.number != order.number:
+                self.trials[service] = Trial(order, self.boot.bounds, now)
+        self.look(now)
+
+    def look(self, now: float) -> None:
+        sure = self.known.fresh or now - self.began > BLIND_S
+        ready = self.known.plan is not None and bool(self.known.book.lines) and (self.ready or sure)
+        ready = ready and not self.leaving
+        if ready != self.ready:
+            self.ready = ready
+            ring(303, ready=ready)
+
+    def reports(self) -> list[Any]:
+        return [trial.report(self.life) for trial in self.trials.values()]
+
+    async def step(self) -> None:
+        while True:
+            await asyncio.sleep(STEP_S)
+            now = self.now()
+            self.look(now)
+            for trial in self.trials.values():
+                vote = trial.vote
+                trial.step(now)
+                if trial.vote != vote:
+                    ring(320, service=trial.order.service, vote=trial.vote or "none", why=trial.why)
+
+    # Requests.
+
+    async def on_ready(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(status=200 if self.ready else 503)
+
+    def own(self, status: int, back_s: float | None = None) -> web.Response:
+        response = web.Response(status=status)
+        if back_s is not None:
+            response.headers["Retry-After"] = f"{back_s:.2f}"
+        return self.closing(response)
+
+    def closing(self, response: web.Response) -> web.Response:
+        if self.leaving:
+            response.force_close()
+        return response
+
+    async def on_request(self, request: web.BaseRequest) -> web.Response:
+        self.open += 1
+        try:
+            return await self.serve(request)
+        except (ConnectionResetError, asyncio.CancelledError):
+            raise
+        except Exception as why:  # noqa: BLE001: a fault of the program ends this request alone
+            ring(110, why=repr(why))
+            return self.own(500)
+        finally:
+            self.open -= 1
+
+    async def serve(self, request: web.BaseRequest) -> web.Response:
+        now, plan = self.now(), self.known.plan
+        headers = request.headers
+        if plan is None:
+            return self.own(503, UNKNOWN_S)
+        raw = request.raw_path
+        if not raw.startswith("/") or "#" in raw:
+            return self.own(400)
+        if "Transfer-Encoding" in headers and "Content-Length" in headers:
+            response = self.own(400)
+            response.force_close()
+            return response
+        route = plan.route(headers.get("Host", ""), raw.partition("?")[0])
+        if route is None:
+            return self.own(404)
+        allow = headers.get(DEADLINE, "")
+        allow_s = int(allow) / 1000 if allow.isdecimal() else DEADLINE_S
+        if headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
+            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        body: bytes | AsyncIterator[bytes] = b""
+        streams = False
+        if request.body_exists:
+            size = request.content_length or 0
+            if size > plan.body_bytes:
+                response = self.own(413)
+                response.force_close()
+                return response
+            body, streams = await self.body(request)
+        call = Call(route, route.service(self.chance), now, allow_s)
+        call.streams = streams
+        return await self.put_through(request, call, body)
+
+    async def body(self, request: web.BaseRequest) -> tuple[bytes | AsyncIterator[bytes], bool]:
+        """The body whole, or what has come of it and the rest as it comes."""
+        parts, size = [], 0
+        async for part in request.content.iter_any():
+            parts.append(part)
+            size += len(part)
+            if size > HELD_MOST:
+                break
+        first = b"".join(parts)
+        if size <= HELD_MOST:
+            return first, False
+
+        async def rest() -> AsyncIterator[bytes]:
+            yield first
+            async for part in request.content.iter_any():
+                yield part
+
+        return rest(), True
+
+    async def put_through(self, request: web.BaseRequest, call: Call, body: Any) -> web.Response:
+        name = call.service
+        tries = self.tries.get(name)
+        if tries is None:
+            tries = self.tries[name] = Tries(self.boot.bounds)
+        tries.request(self.now())
+        headers = passed_on(request.headers)
+        if call.streams and request.content_length is not None:
+            headers["Content-Length"] = str(request.content_length)
+        headers.popall("Expect", None)
+        while True:
+            now, trial = self.now(), self.trials.get(name)
+            step = call.next(now, self.lines, tries, trial)
+            if isinstance(step, Reply):
+                return self.answer(request, step)
+            ending = await self.send(request, headers, step, body)
+            call.ended(self.now(), self.lines, ending, trial)
+            if ending.what in ("another's", "spoilt", "cut"):
+                ring(310, iid=step.machine.entry.iid, what=ending.what)
+
+    async def send(self, request: web.BaseRequest, headers: Any, step: Send, body: Any) -> Ending:
+        entry = step.machine.entry
+        headers[DEADLINE] = str(max(1, int(step.allow_s * 1000)))
+        headers[WANT] = entry.iid
+        url = f"http://{entry.where[0]}:{entry.where[1]}{request.raw_path}"
+        fresh = self.now() < step.machine.shaky_until and request.method not in ("GET", "HEAD")
+        assert self.wire is not None
+        return await self.wire.send(request.method, url, headers, body, step.allow_s, fresh)
+
+    def answer(self, request: web.BaseRequest, reply: Reply) -> web.Response:
+        if reply.ending is None:
+            return self.own(reply.status, reply.back_s)
+        headers = CIMultiDict((key, value) for key, value in reply.ending.headers if key != NOT_RUN)
+        return self.closing(web.Response(status=reply.status, body=reply.ending.body, headers=headers))
+
+    # Life.
+
+    async def run(self, stop: asyncio.Event) -> None:
+        loop = asyncio.get_running_loop()
+        self.wire, self.began = Wire(), self.now()
+        server = web.Server(
+            self.on_request, access_log=None, max_line_size=16384, max_field_size=16384, keepalive_timeout=15.0,
+            auto_decompress=False,
+        )  # fmt: skip
+        asker = web.Server(self.on_ready, access_log=None)
+        host, port = self.boot.bind["Up"]
+        up = await loop.create_server(asker, host, port)
+        host, port = self.boot.bind["Edge"]
+        listener = await loop.create_server(server, host, port, backlog=LISTEN)
+        tasks = [asyncio.ensure_future(self.session.run()), asyncio.ensure_future(self.step())]
+        ring(100, edge=f"{host}:{port}")
+        await stop.wait()
+        ring(101, open=self.open)
+        self.leaving = True
+        self.look(self.now())
+        end = self.now() + self.boot.bounds.grace_s
+        await asyncio.sleep(max(0.0, end - LAST_S - self.now()))
+        listener.close()
+        for connection in server.connections:
+            if connection._current_request is None:
+                connection.close()
+        while self.open and self.now() < end - 0.2:
+            await asyncio.sleep(0.02)
+        up.close()
+        for task in tasks:
+            task.cancel()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await self.wire.close()
--- /dev/null
+++ b/pinward/trial/front.py
@@ -0,0 +1,113 @@
+"""A front's part in a roll-out: its share of sends to the new build, what it counts, and its vote.
+
+The design (docs/design.md) on the gateway's requests: the loop of `pinward.policy.loop` each 0.2 s on own outcomes
+at the new build, clamped to the cap, and votes against the earlier build.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from statistics import fmean
+from typing import Any, NamedTuple
+
+from pinward.plan.boot import Bound
+from pinward.policy.loop import AIM_FAULTS, AIM_LATENCY, PERIOD_S, Loop, within
+from pinward.trial.order import Order, Stage
+
+LOOP_S = 3.0  # s; how fresh the loop's outcomes are
+LEAST = 20  # outcomes until a vote
+LEAST_PER_S = 1.5  # fewer each second: a front with little traffic votes as well, on the sum of all
+KEPT = 400  # outcomes kept a build
+FREE_PART = 0.4  # of the free allowance, for all fronts together: the rest is for those that forget or come
+CAP_PART = 0.95  # of the cap: counted by what was sent here, judged by what arrived
+SLOWER, SLOW_LEAST = 2.2, 12  # times the earlier build's; outcomes it takes to tell
+TIME_MOST = 8.0  # times the mean of the route: a longer time counts as this
+
+
+class Outcome(NamedTuple):
+    at: float
+    route: str
+    fault: bool
+    took: float
+    spent: float  # of the route's goal
+
+
+class Trial:
+    """One order of one service at this front."""
+
+    def __init__(self, order: Order, bounds: Bound, now: float) -> None:
+        self.order, self.bounds, self.begun = order, bounds, now
+        self.loop, self.credit, self.step_at = Loop(), 0.0, now + PERIOD_S
+        self.taken = self.sent = 0
+        self.counts = [0, 0, 0, 0]
+        self.times: dict[str, list[float]] = {}
+        self.fresh: deque[Outcome] = deque(maxlen=KEPT)
+        self.bound = False
+        self.vote, self.why = "", ""
+        self.loop.begin(0.0)
+
+    def take(self, part: float) -> None:
+        """A request of the service is to be sent; `part` is the trial's part of the service's machines."""
+        if self.loop.error is None and not self.loop.share:
+            self.loop.share = min(self.cap, part)
+        self.credit = min(2.0, self.credit + self.loop.share)
+
+    @property
+    def cap(self) -> float:
+        return CAP_PART * self.bounds.trial_cap
+
+    def wants(self, fronts: int) -> bool:
+        """True where the next send goes to the new build."""
+        free = FREE_PART * self.bounds.trial_free / max(1, fronts)
+        room = within(self.sent, self.taken, self.cap, free)
+        return self.order.stage is Stage.SERVING and self.credit >= 1.0 and room
+
+    def sends(self, new: bool) -> None:
+        self.taken += 1
+        if new:
+            self.sent += 1
+            self.credit -= 1.0
+
+    def ended(self, now: float, new: bool, route: str, fault: bool, took: float, goal_s: float, cold: bool) -> None:
+        """A machine answered, well or not; what broke on the way is no verdict on a build."""
+        at = 0 if new else 2
+        self.counts[at] += 1
+        self.counts[at + 1] += fault
+        if new:
+            self.fresh.append(Outcome(now, route, fault, took, took / max(0.001, goal_s)))
+        if not cold and not fault:
+            times = self.times.setdefault(route, [0, 0.0, 0, 0.0])
+            mean = times[3] / times[2] if times[2] else took
+            times[at] += 1
+            times[at + 1] += min(took, TIME_MOST * mean)
+
+    def step(self, now: float) -> None:
+        """The loop and the vote, each period."""
+        if now < self.step_at or self.order.stage is not Stage.SERVING:
+            return
+        self.step_at = now + PERIOD_S
+        fresh = [o for o in self.fresh if o.at > now - LOOP_S]
+        error = 1.0
+        if fresh:
+            theirs = self.counts[3] / self.counts[2] if self.counts[2] else 0.0
+            faults = max(0.0, sum(o.fault for o in fresh) / max(LEAST, len(fresh)) - theirs)
+            error = 1.0 - max(fmean(o.spent for o in fresh) / AIM_LATENCY, faults / AIM_FAULTS)
+        out = self.loop.step(error, self.cap)
+        self.bound = out >= self.cap
+        self.vote, self.why = self.judge(now, error)
+
+    def judge(self, now: float, error: float) -> tuple[str, str]:
+        new, bad, old, old_bad = self.counts
+        told = [t for t in self.times.values() if t[0] and t[2] >= SLOW_LEAST]
+        timed, expected = sum(int(t[0]) for t in told), sum(t[0] * t[3] / t[2] for t in told)
+        slower = sum(t[1] for t in told) / expected if expected > 0 else 1.0
+        why = f"new={new}/{bad} earlier={old}/{old_bad} slower={slower:.2f} share={self.loop.share:.3f}"
+        if new >= LEAST and bad / new > AIM_FAULTS >= old_bad / max(1, old):
+            return "back", why
+        if timed >= SLOW_LEAST and slower > SLOWER:
+            return "back", why
+        least = max(1.0, LEAST - LEAST_PER_S * (now - self.begun))
+        return ("on" if new >= least and self.bound else ""), why
+
+    def report(self, life: str) -> list[Any]:
+        return [self.order.service, self.order.number, life, self.counts, self.times, self.vote]
--- /dev/null
+++ b/pinward/trunk/link.py
@@ -0,0 +1,106 @@
+"""Words between parts of the system: JSON on a websocket of the inner port.
+
+A peer that says nothing does not hang anybody: TCP gives up after `SILENT_S`, a connection is tried for
+`CONNECT_S`, and what cannot be sent soon is dropped with its connection; each end then begins anew.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import aiohttp
+
+SILENT_S = 1.2  # s without a sign of TCP from a peer until the connection ends: several round trips and beats
+CONNECT_S = 0.5  # s for a connection to come up
+AGAIN_S = (0.1, 0.4)  # s between two tries, drawn: reconnects of many spread
+WORDS_MOST = 2000  # words that wait for one peer
+WORD_MOST = 16 * 2**20  # bytes of one word: a snapshot with the largest configuration
+LINK, DESK = "/link", "/desk"  # paths: of control fronts, of fronts
+
+
+def guard(sock: socket.socket | None) -> None:
+    """Makes TCP give up on a silent peer and send small words at once."""
+    if sock is None:
+        return
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(SILENT_S * 1000))
+
+
+def session() -> aiohttp.ClientSession:
+    """A client session for links: no cookies, no proxies, no redirects followed by itself."""
+    return aiohttp.ClientSession(
+        cookie_jar=aiohttp.DummyCookieJar(), trust_env=False, timeout=aiohttp.ClientTimeout(total=None),
+        connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False),
+    )  # fmt: skip
+
+
+def packed(word: dict[str, Any]) -> str:
+    return json.dumps(word, separators=(",", ":"))
+
+
+class Link:
+    """The words of this process to one peer, over a connection of its own that is opened anew for ever."""
+
+    def __init__(
+        self, http: aiohttp.ClientSession, where: tuple[str, int], hello: dict[str, Any],
+        up: Callable[[], None], down: Callable[[], None],
+    ) -> None:  # fmt: skip
+        self.http, self.where, self.hello, self.on_up, self.on_down = http, where, hello, up, down
+        self.words: asyncio.Queue[str] = asyncio.Queue(WORDS_MOST)
+        self.stands = False
+        self.chance = Random(str(where))
+
+    def send(self, word: dict[str, Any]) -> None:
+        """Sends a word where the link stands; else it is lost, as on any network."""
+        if self.stands:
+            try:
+                self.words.put_nowait(packed(word))
+            except asyncio.QueueFull:
+                self.stands = False
+
+    async def run(self) -> None:
+        while True:
+            try:
+                await self.once()
+            except (OSError, aiohttp.ClientError, TimeoutError):
+                pass
+            finally:
+                if self.stands:
+                    self.stands = False
+                    self.on_down()
+            await asyncio.sleep(self.chance.uniform(*AGAIN_S))
+
+    async def once(self) -> None:
+        host, port = self.where
+        async with asyncio.timeout(CONNECT_S):
+            ws = await self.http.ws_connect(
+                f"http://{host}:{port}{LINK}", autoping=True, compress=0, max_msg_size=WORD_MOST
+            )
+        try:
+            guard(ws.get_extra_info("socket"))
+            await ws.send_str(packed(self.hello))
+            while not self.words.empty():
+                self.words.get_nowait()
+            self.stands = True
+            self.on_up()
+            end = asyncio.ensure_future(ws.receive())  # the peer says nothing here: this is its end
+            try:
+                while self.stands:
+                    word = asyncio.ensure_future(self.words.get())
+                    await asyncio.wait((word, end), return_when=asyncio.FIRST_COMPLETED)
+                    if end.done():
+                        word.cancel()
+                        return
+                    async with asyncio.timeout(SILENT_S):
+                        await ws.send_str(word.result())
+            finally:
+                end.cancel()
+        finally:
+            transport = ws._response.connection and ws._response.connection.transport
+            if transport is not None:
+                transport.abort()
