The decisions' one file is split by concern; the loop and clamp are the gateway's too

Cause: rules.py had grown to hold all decisions, and the gateway needs loop, clamp and comparison. Change: pinward/policy (loop, compare, state, nodes, picking, votes) by moving the text as it was; a txn's states go to terms.py.

--- a/pinward/config.py
+++ b/pinward/config.py
@@ -14,7 +14,7 @@
 
 import orjson
 
-from pinward.rules import CLIENTS_OF, IDLE_OF
+from pinward.policy.state import CLIENTS_OF, IDLE_OF
 from pinward.terms import Customer, Gate, Group, Kind, Phase, Product, Release, Terms
 
 T = TypeVar("T")
--- a/pinward/net/discovery.py
+++ b/pinward/net/discovery.py
@@ -11,7 +11,7 @@
 from pinward.net import http
 from pinward.net.ring import Link, connect
 from pinward.net.scheduler import Scheduler
-from pinward.rules import STALL_S
+from pinward.policy.state import STALL_S
 
 LIST_MOST = 4 * 1024 * 1024  # bytes of a list: some ten thousand nodes
 PATH = b"/registry/instances"
--- a/pinward/net/front.py
+++ b/pinward/net/front.py
@@ -21,7 +21,8 @@
 from pinward.net.pool import Pool
 from pinward.net.ring import Link, listen
 from pinward.net.scheduler import READ, Scheduler, Task
-from pinward.rules import ASK_S, IDLE_S, LINGER_S, STALL_S, UNASKED_S, Judge
+from pinward.policy.state import ASK_S, IDLE_S, LINGER_S, STALL_S, UNASKED_S
+from pinward.rules import Judge
 from pinward.terms import Count, Kind, Listing, Node, Release, Reply, Result, State, Submission, Txn, Verb
 
 READY, LIVE = b"/health/ready", b"/health/live"
--- a/pinward/policy/__init__.py
+++ b/pinward/policy/__init__.py
@@ -1,1 +1,1 @@
-"""The rollout decisions, one concern a file: the loop and its clamp (`loop`), votes (`votes`) and what they rest on."""
+"""The rollout decisions of all fronts, one concern a file; `pinward/rules.py` puts them together."""
--- a/pinward/terms.py
+++ b/pinward/terms.py
@@ -265,3 +265,17 @@
     behind_price: float
     harm_price: float
     batch_s: float
+
+
+MOVES = {
+    State.TAKEN: (State.HELD, State.LEFT),
+    State.HELD: (State.SUBMITTED, State.DECLINED, State.VOIDED, State.LEFT),
+    State.SUBMITTED: (State.HELD, State.SETTLED, State.VOIDED, State.LEFT),
+}
+
+
+def move(txn: Txn, state: State) -> None:
+    """The one place where a txn changes its state."""
+    if state not in MOVES.get(txn.state, ()):
+        raise ValueError(f"a txn cannot go from {txn.state.name} to {state.name}")
+    txn.state = state
--- a/tests/test_lead_whole.py
+++ b/tests/test_lead_whole.py
@@ -337,9 +337,10 @@
             "import runpy, sys, os\nos.environ.pop('ROUTER_CONFIG', None)\nsys.argv = ['pinward']\n"
             "try: runpy.run_module('pinward', run_name='__main__')\nexcept SystemExit as e: print(e.code)\n"
             "print(sorted(m.split('.')[0] for m in sys.modules if m.split('.')[0] in "
-            "('click', 'structlog', 'pydantic', 'msgpack', 'rich', 'cryptography', 'hdrh', 'ssl')))\n"
+            "('click', 'structlog', 'pydantic', 'msgpack', 'rich', 'cryptography', 'hdrh', 'ssl', 'aiohttp', "
+            "'asyncio', 'logbook', 'marshmallow', 'pyrsistent', 'result', 'defopt')))\n"
             "print([m for m in sys.modules if m.startswith('pinward.') and m.split('.')[1] not in "
-            "('config', 'rules', 'terms', 'figures', 'net')])"
+            "('config', 'rules', 'policy', 'terms', 'figures', 'net')])"
         )
         done = subprocess.run([sys.executable, "-B", "-c", code], cwd=ROOT, capture_output=True, text=True)
         self.assertEqual(done.stdout.splitlines(), ["2", "[]", "[]"], done.stderr)
