--- a/pinward/annunciator.py
+++ b/pinward/annunciator.py
@@ -63,7 +63,7 @@
     logbook.StreamHandler(sys.stderr, level="INFO", format_string=form).push_application()
 
 
-def ring(number: int, **facts: object) -> None:
+def ring(number: int, /, **facts: object) -> None:
     """Writes event `number` of the table."""
     event = EVENTS[number]
     told = " ".join(f"{key}={str(value)[:TEXT_MOST]}" for key, value in facts.items())
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -78,7 +78,12 @@
     def spawn(self, work: Any) -> None:
         task = asyncio.ensure_future(work)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self.ended)
+
+    def ended(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (why := task.exception()) is not None:
+            ring(110, call=task.get_coro(), why=repr(why))
 
     def turn(self) -> None:
         self.turned.set()
@@ -236,18 +241,21 @@
     # Time.
 
     async def beat(self) -> None:
-        digest_at = 0.0
         while True:
-            now = self.now()
-            self.keeper.tick(now)
-            self.decide(now)
-            if now >= digest_at:
-                since, digest_at = self.told_at, now + DIGEST_S
-                self.told_at = now
-                self.digest(now, since)
-            self.carry()
+            try:
+                self.look(self.now())
+            except Exception as why:  # noqa: BLE001: one fault must not end all beats
+                ring(110, call="beat", why=repr(why))
             await asyncio.sleep(TICK_S)
 
+    def look(self, now: float) -> None:
+        self.keeper.tick(now)
+        self.decide(now)
+        if now >= self.told_at + DIGEST_S:
+            since, self.told_at = self.told_at, now
+            self.digest(now, since)
+        self.carry()
+
     def digest(self, now: float, since: float) -> None:
         for front in self.sessions:
             self.fronts[front] = now
