--- a/pinward/directory/book.py
+++ b/pinward/directory/book.py
@@ -15,6 +15,7 @@
 
 ENTRIES_MOST = 20_000  # lives held: tens of MB; more are not taken
 GONE_S = 60.0  # s that a life which ended is remembered: late beats of it come within seconds
+HINT_S = 2.2  # s that what a disk told of a machine counts without a beat: each beats within two periods
 SILENT_BEATS = 3.3  # beats missed until a machine counts as silent: two may be lost on the way
 
 Vector = dict[str, tuple[str, int]]
@@ -68,6 +69,12 @@
             return None
         return self.write(now, replace(line.entry, standing=Standing.GONE), now)
 
+    def restore(self, now: float, plain: list[list[Any]]) -> None:
+        """Entries kept from an earlier life: a hint, silent within `HINT_S` but for those that beat again."""
+        for entry in map(Entry.of, plain):
+            if entry.iid not in self.lines and len(self.lines) < ENTRIES_MOST:
+                self.write(now - max(0.0, SILENT_BEATS * self.beat_s - HINT_S), entry)
+
     def number_of(self, iid: str) -> tuple[str, int] | None:
         """Source and number of what is held of a life."""
         line = self.lines.get(iid)
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -24,7 +24,7 @@
 from pinward.directory.sanctioned import base_of
 from pinward.exchange.calls import Call, checked, entry_of, find
 from pinward.exchange.keeper import Keeper, Kept, View
-from pinward.exchange.vault import Vault
+from pinward.exchange.vault import MACHINES, Vault
 from pinward.plan.boot import Boot
 from pinward.plan.schema import plan_of
 from pinward.trial.order import Order, Stage
@@ -35,6 +35,7 @@
 DIGEST_S = 0.5  # s between two words on who was heard
 CALL_S = 0.9  # s for an answer to an operator, who goes elsewhere after one
 TOLD_S = 0.6  # s for another control front to hold that a machine leaves; it calls elsewhere after one
+HINT_S = 1.5  # s between two writings of the machines known
 PULL_S = 0.8  # s that a pull with nothing to tell is held
 PULLS_S = 3.0  # s without a pull until a session ends
 MEMBER_S = 3.0  # s that a front counts after it was last told of
@@ -51,6 +52,8 @@
 class Exchange:
     def __init__(self, boot: Boot, vault: Vault, kept: Kept, now: float) -> None:
         self.boot, self.vault, self.own = boot, vault, boot.ip
+        self.hints = Vault(vault.folder, MACHINES)
+        self.hinted, self.hint_at = 0, now
         self.life = os.urandom(6).hex()
         self.keeper = Keeper(self.own, kept, boot.lost_most, self.life, now)
         self.book = Book(self.own, self.life, boot.beat_s)
@@ -69,7 +72,7 @@
         self.fronts: dict[str, float] = {}  # members, and when they were last told of
         self.sessions: Counter[str] = Counter()
         self.tasks: set[asyncio.Task[Any]] = set()
-        self.told_at = now
+        self.told_at, self.was_fresh = now, False
 
     @staticmethod
     def now() -> float:
@@ -250,12 +253,24 @@
 
     def look(self, now: float) -> None:
         self.keeper.tick(now)
+        if self.keeper.fresh(now) != self.was_fresh:
+            self.was_fresh = not self.was_fresh
+            self.turn()
         self.decide(now)
         if now >= self.told_at + DIGEST_S:
             since, self.told_at = self.told_at, now
             self.digest(now, since)
+        if self.book.turn != self.hinted and now >= self.hint_at:
+            self.hinted, self.hint_at = self.book.turn, now + HINT_S
+            self.spawn(self.hint())
         self.carry()
 
+    async def hint(self) -> None:
+        """Keeps the machines known on disk: after a loss of power calls go through before all have beaten."""
+        lines = [line.entry.plain() for line in self.book.lines.values()]
+        with contextlib.suppress(OSError):
+            await asyncio.get_running_loop().run_in_executor(self.disk, self.hints.write, packed({"lines": lines}).encode())
+
     def digest(self, now: float, since: float) -> None:
         for front in self.sessions:
             self.fronts[front] = now
@@ -345,10 +360,10 @@
             if lines:
                 found["lines"] = lines
                 found["vector"] = dict(self.book.seen)
-            left = until - self.now()
-            if found or left <= 0:
+            left, fresh = until - self.now(), self.keeper.fresh(self.now())
+            if found or left <= 0 or fresh != have["fresh"]:
                 found["fronts"] = len(self.fronts)
-                found["fresh"] = self.keeper.fresh(self.now())
+                found["fresh"] = fresh
                 found["cores"] = sorted({self.own, *self.keeper.view.voters})
                 return found
             with contextlib.suppress(TimeoutError):
@@ -515,6 +530,9 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         self.http = session()
+        with contextlib.suppress(OSError, ValueError):
+            self.book.restore(self.now(), (self.hints.read() or {"lines": []})["lines"])
+            self.hinted = self.book.turn
         inner = web.Application()
         inner.router.add_get(LINK, self.on_link)
         inner.router.add_get(DESK, self.on_desk)
--- a/pinward/exchange/keeper.py
+++ b/pinward/exchange/keeper.py
@@ -28,6 +28,7 @@
 PATIENCE_S = 0.9  # s without a beat until a copy stands
 SPREAD_S = 0.35  # s, drawn on top: two copies rarely stand at once
 ROUND_S = 0.6  # s until an attempt to lead is given up, and until a copy's answer is missed
+BACK_S = 0.1  # s after its start until a former primary stands: links come up meanwhile
 PROBE_S = 0.3  # s for a majority to say that it would help: only then an epoch is used up
 GATHER_S = 0.12  # s more, once a majority said yes, for enough copies to answer
 PAUSE_S = 0.5  # s between two changes of view by a primary that lasts
@@ -89,6 +90,17 @@
         return cls(plain["promised"], View.of(plain["view"]), plain["blank"], plain["items"])
 
 
+@dataclass
+class Write:
+    """A write under way at the primary."""
+
+    ticket: int  # of its own disk
+    key: str
+    item: list[Any]
+    lacking: set[str]  # copies that have yet to keep it
+    since: float
+
+
 def newest(items: dict[str, list[Any]]) -> Stamp:
     return max(((item[0], item[1]) for item in items.values()), default=(0, 0))
 
@@ -102,9 +114,10 @@
         self.primary: str | None = None  # as last heard
         self.heard_at = now  # a start counts: it may have answered a beat just before
         self.helped_at = -inf  # when it accepted a view
+        self.bound_to = kept.view.primary  # whom these two times bind it to
         self.would: set[str] = set()  # who would help
         self.seat_at = -inf
-        self.ticket = self.on_disk = 0
+        self.ticket = self.on_disk = self.view_ticket = 0
         self.asked_disk: dict[int, float] = {}  # tickets not yet saved, and since when
         self.waits: list[tuple[int, str, Word]] = []  # ticket, peer, word
         self.yes: dict[str, tuple[View, Stamp]] = {}
@@ -120,8 +133,9 @@
         self.answered: dict[str, float] = {}  # when the last beat that a peer answered was sent
         self.pubs: dict[str, Stamp] = {}
         self.number = newest(kept.items)[1]
-        self.open: dict[int, tuple[int, str, set[str], float]] = {}  # write: ticket, key, who lacks it, since
-        self.stand_at = now + self.patience()
+        self.open: dict[int, Write] = {}
+        # A primary that comes back has no lease any more, and whom it led may help it at once.
+        self.stand_at = now + (BACK_S if kept.view.primary == own else self.patience())
         self.out: list[tuple[Any, ...]] = []
 
     # What the host asks.
@@ -142,6 +156,8 @@
         """A link to a control front stands."""
         if peer != self.own:
             self.peers.add(peer)
+            if self.role is Role.FOLLOWING and self.would:
+                self.send(peer, t="probe", n=self.kept.promised)
             if self.role is Role.PRIMARY and self.public:
                 self.send(peer, t="told", n=self.epoch, items=self.public)
 
@@ -153,7 +169,7 @@
         self.kept.items[key] = [self.epoch, self.number, value]
         ticket = self.save(now)
         others = {copy for copy in self.view.copies if copy != self.own}
-        self.open[self.number] = (ticket, key, others, now)
+        self.open[self.number] = Write(ticket, key, self.kept.items[key], others, now)
         for copy in others:
             self.send(copy, t="put", n=self.epoch, seq=self.number, key=key, value=value)
         return self.number
@@ -237,7 +253,7 @@
         able = [p for p in self.peers if now - self.answered.get(p, -inf) < 2 * BEAT_S]
         few = len(self.view.copies) <= self.lost_most and any(p not in self.view.copies for p in able)
         unknown = self.blanks - self.left_out
-        stuck = any(now - since > ROUND_S for *_, since in self.open.values())
+        stuck = any(now - write.since > ROUND_S for write in self.open.values())
         if lost or few or unknown or stuck or (self.outsiders - set(self.view.voters)):
             self.ask(now)
 
@@ -257,7 +273,6 @@
 
     def ask(self, now: float) -> None:
         """The first round: who helps this machine to lead the next epoch, and what they hold."""
-        incumbent = self.role is Role.PRIMARY
         self.move(Role.ASKING)
         self.epoch = self.kept.promised + 1
         self.kept.promised = self.epoch
@@ -269,7 +284,7 @@
         stamp = newest(self.kept.items)
         self.promise(ticket, self.own, t="yes", n=self.epoch, view=self.view.plain(), stamp=list(stamp))
         for peer in self.peers:
-            self.send(peer, t="ask", n=self.epoch, incumbent=incumbent)
+            self.send(peer, t="ask", n=self.epoch)
 
     def go_on(self, now: float) -> None:
         if self.role is Role.ASKING and now >= self.gather_at:
@@ -326,7 +341,8 @@
 
     def take_seat(self, now: float, asker: str, view: View) -> None:
         self.kept.promised, self.kept.view = view.epoch, view
-        self.promise(self.save(now), asker, t="seated", n=view.epoch)
+        self.view_ticket = self.save(now)
+        self.promise(self.view_ticket, asker, t="seated", n=view.epoch)
 
     def begin(self, now: float) -> None:
         """A majority accepted the view: this machine leads it."""
@@ -336,8 +352,8 @@
         self.number = max(self.number, newest(self.kept.items)[1])
         self.outsiders -= set(self.view.voters)
         self.event(200, epoch=self.epoch, copies="+".join(self.view.copies), voters=len(self.view.voters))
-        for key in list(self.kept.items):
-            self.publish(key)
+        for key, item in self.kept.items.items():
+            self.publish(key, item)
         for number in list(self.open):  # what was under way is in what the copies took
             self.out.append(("done", number, True))
         self.open.clear()
@@ -345,10 +361,9 @@
             self.send(peer, t="teach", view=self.view.plain())
         self.lead(now)
 
-    def publish(self, key: str) -> None:
-        item = self.kept.items[key]
+    def publish(self, key: str, item: list[Any]) -> None:
         held = self.public.get(key)
-        if held is None or (held[0], held[1]) != (item[0], item[1]):
+        if held is None or (held[0], held[1]) < (item[0], item[1]):
             self.public[key] = list(item)
             self.out.append(("took", key, item[2]))
             for peer in self.peers:
@@ -375,15 +390,15 @@
         if handler is not None:
             handler(now, peer, word)
 
-    def loyal(self, now: float) -> bool:
-        """True while a primary may act on this voter's word, or this is one."""
-        bound = now - max(self.heard_at, self.helped_at) < ALIVE_S
+    def loyal(self, now: float, asker: str) -> bool:
+        """True while another primary than `asker` may act on this voter's word, or this is one."""
+        bound = now - max(self.heard_at, self.helped_at) < ALIVE_S and asker != self.bound_to
         return bound or (self.role is Role.PRIMARY and now - self.confirmed(now) < ALIVE_S)
 
     def on_probe(self, now: float, peer: str, word: Word) -> None:
         if self.kept.blank:
             self.send(peer, t="blank", n=word["n"])
-        elif not self.loyal(now):
+        elif not self.loyal(now, peer):
             self.send(peer, t="would", n=word["n"])
 
     def on_would(self, now: float, peer: str, word: Word) -> None:
@@ -394,8 +409,7 @@
         if self.kept.blank:
             self.send(peer, t="blank", n=word["n"])
             return
-        incumbent = word["incumbent"] and peer == self.primary and self.role is Role.FOLLOWING
-        if word["n"] <= self.kept.promised or (self.loyal(now) and not incumbent):
+        if word["n"] <= self.kept.promised or self.loyal(now, peer):
             self.send(peer, t="no", n=word["n"], promised=self.kept.promised)
             return
         if self.role is not Role.FOLLOWING:
@@ -441,7 +455,7 @@
             return
         if self.role is not Role.FOLLOWING:
             self.follow(now)
-        self.stand_at, self.helped_at = now + self.patience(), now
+        self.stand_at, self.helped_at, self.bound_to = now + self.patience(), now, peer
         self.take_seat(now, peer, view)
 
     def on_seated(self, now: float, peer: str, word: Word) -> None:
@@ -464,15 +478,16 @@
             return
         if self.role is not Role.FOLLOWING:
             self.follow(now)
-        self.primary, self.heard_at = peer, now
+        self.primary, self.heard_at, self.bound_to = peer, now, peer
+        self.would = set()
         self.stand_at = now + self.patience()
         self.peers |= set(view.voters) - {self.own}
         if not self.kept.blank and view.epoch > self.view.epoch:  # it was chosen: its seat was lost on the way
             self.kept.promised, self.kept.view = max(self.kept.promised, view.epoch), view
-            self.save(now)
-        self.send(
-            peer, t="heard", n=word["n"], at=word["at"], pub=list(newest(self.public)), blank=self.kept.blank,
-            out=self.own not in view.voters,
+            self.view_ticket = self.save(now)
+        self.promise(  # only once the disk knows whom it is bound to
+            self.view_ticket, peer, t="heard", n=word["n"], at=word["at"], pub=list(newest(self.public)),
+            blank=self.kept.blank, out=self.own not in view.voters,
         )  # fmt: skip
 
     def on_old(self, now: float, peer: str, word: Word) -> None:
@@ -501,12 +516,14 @@
     def on_put(self, now: float, peer: str, word: Word) -> None:
         if self.kept.blank or word["n"] != self.kept.promised or self.view.epoch != word["n"]:
             return
-        self.kept.items[word["key"]] = [word["n"], word["seq"], word["value"]]
+        held = self.kept.items.get(word["key"])
+        if held is None or (held[0], held[1]) < (word["n"], word["seq"]):  # else a later one came before it
+            self.kept.items[word["key"]] = [word["n"], word["seq"], word["value"]]
         self.promise(self.save(now), peer, t="kept", n=word["n"], seq=word["seq"])
 
     def on_kept(self, now: float, peer: str, word: Word) -> None:
         if self.role is Role.PRIMARY and word["n"] == self.epoch and word["seq"] in self.open:
-            self.open[word["seq"]][2].discard(peer)
+            self.open[word["seq"]].lacking.discard(peer)
             self.settle(now)
 
     def on_told(self, now: float, peer: str, word: Word) -> None:
@@ -520,9 +537,8 @@
         """Ends the writes that all disks of the view hold."""
         if self.role is not Role.PRIMARY:
             return
-        for number, (ticket, key, others, _) in list(self.open.items()):
-            if ticket <= self.on_disk and not others:
+        for number, write in list(self.open.items()):
+            if write.ticket <= self.on_disk and not write.lacking:
                 del self.open[number]
-                if self.kept.items[key][1] == number:
-                    self.publish(key)
+                self.publish(write.key, write.item)  # what came after it may not be held by all yet
                 self.out.append(("done", number, True))
--- a/pinward/exchange/vault.py
+++ b/pinward/exchange/vault.py
@@ -15,7 +15,7 @@
 from typing import Any
 from zlib import crc32
 
-PREFIX = "state."
+STATE, MACHINES = "state.", "book."  # the control state; the machines known, a hint for the first seconds
 KEPT = 2  # generations left on disk: the newest, and one should it be damaged
 
 
@@ -30,21 +30,21 @@
 class Vault:
     """The generations in a folder. Every call may wait for the disk and raise OSError."""
 
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
+    def __init__(self, folder: Path, prefix: str = STATE) -> None:
+        self.folder, self.prefix = folder, prefix
         self.generation = 0
 
     def numbers(self) -> list[int]:
         """Generations that have a file, newest first."""
         found = set()
         for name in os.listdir(self.folder):
-            stem = name.removeprefix(PREFIX).partition(".")[0]
-            if name.startswith(PREFIX) and stem.isdecimal():
+            stem = name.removeprefix(self.prefix).partition(".")[0]
+            if name.startswith(self.prefix) and stem.isdecimal():
                 found.add(int(stem))
         return sorted(found, reverse=True)
 
     def path(self, number: int) -> Path:
-        return self.folder / f"{PREFIX}{number:010d}"
+        return self.folder / f"{self.prefix}{number:010d}"
 
     def read(self) -> dict[str, Any] | None:
         """The newest whole generation; None where there is none."""
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -43,6 +43,7 @@
         self.session = Session(boot, self.known, self.life, self.reports, self.changed)
         self.wire: Wire | None = None
         self.ready = self.leaving = False
+        self.known_once = asyncio.Event()
         self.open = 0
         self.began = 0.0
 
@@ -72,10 +73,11 @@
         ready = ready and not self.leaving
         if ready != self.ready:
             self.ready = ready
+            self.known_once.set()
             ring(303, ready=ready)
 
     def reports(self) -> list[Any]:
-        return [trial.report(self.life) for trial in self.trials.values()]
+        return [trial.report(self.now(), self.life) for trial in self.trials.values()]
 
     async def step(self) -> None:
         while True:
@@ -215,10 +217,14 @@
         host, port = self.boot.bind["Up"]
         up = await loop.create_server(asker, host, port)
         host, port = self.boot.bind["Edge"]
-        listener = await loop.create_server(server, host, port, backlog=LISTEN)
         tasks = [asyncio.ensure_future(self.session.run()), asyncio.ensure_future(self.step())]
         ring(100, edge=f"{host}:{port}")
-        await stop.wait()
+        ended = asyncio.ensure_future(stop.wait())
+        # Clients are taken once it knows where to put them: a refused connection costs them less than a refusal.
+        known = asyncio.ensure_future(self.known_once.wait())
+        await asyncio.wait((ended, known), return_when=asyncio.FIRST_COMPLETED)
+        listener = await loop.create_server(server, host, port, backlog=LISTEN)
+        await ended
         ring(101, open=self.open)
         self.leaving = True
         self.look(self.now())
--- a/pinward/trial/front.py
+++ b/pinward/trial/front.py
@@ -109,5 +109,6 @@
         least = max(1.0, LEAST - LEAST_PER_S * (now - self.begun))
         return ("on" if new >= least and self.bound else ""), why
 
-    def report(self, life: str) -> list[Any]:
-        return [self.order.service, self.order.number, life, self.counts, self.times, self.vote]
+    def report(self, now: float, life: str) -> list[Any]:
+        age_s = round(now - self.begun, 3)
+        return [self.order.service, self.order.number, life, age_s, self.counts, self.times, self.vote]
--- a/pinward/trial/tally.py
+++ b/pinward/trial/tally.py
@@ -32,6 +32,7 @@
 
     at: float
     front: str
+    age_s: float  # for how long the front has known the order
     counts: list[int]  # new build's outcomes and faults, the earlier build's outcomes and faults
     times: dict[str, list[float]]  # route: the new build's outcomes and seconds, the earlier's
     vote: str
@@ -49,11 +50,11 @@
             self.reports[order.service] = {}
 
     def report(self, now: float, front: str, reports: list[Any]) -> None:
-        for service, number, life, counts, times, vote in reports:
+        for service, number, life, age_s, counts, times, vote in reports:
             kept = self.reports.get(service)
             if kept is None or self.begun[service][0] != number or (life not in kept and len(kept) >= LIVES_MOST):
                 continue
-            kept[life] = Report(now, front, counts, times, vote)
+            kept[life] = Report(now, front, age_s, counts, times, vote)
 
     def sums(self, service: str) -> tuple[list[int], float, int]:
         """Counts over all fronts; how many times slower the new build is; on how many outcomes."""
@@ -80,7 +81,9 @@
             return Stage.UNDONE, why
         if (timed >= SLOW_LEAST and slower > SLOWER) or back > max(1, fronts // 8):
             return Stage.UNDONE, why
-        watched = now - self.begun[order.service][1] >= WATCHED * order.term_s
+        # A new primary learns late of an order that fronts have watched for long. Harm: a duty missed.
+        ages = [now - self.begun[order.service][1], *(r.age_s + now - r.at for r in votes)]
+        watched = max(ages) >= WATCHED * order.term_s
         if watched and sent >= OUTCOMES_LEAST and 2 * on > len(votes) and on:
             return Stage.DONE, why
         return None, why
--- a/pinward/trunk/session.py
+++ b/pinward/trunk/session.py
@@ -41,7 +41,8 @@
 
     def vector(self) -> dict[str, Any]:
         return {
-            "plan": self.plan.version if self.plan else -1, "orders": self.orders_at, "vector": self.book.seen
+            "plan": self.plan.version if self.plan else -1, "orders": self.orders_at, "vector": self.book.seen,
+            "fresh": self.fresh,
         }  # fmt: skip
 
     def take(self, now: float, news: dict[str, Any]) -> bool:
