--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -16,7 +16,10 @@
 from typing import Any
 
 import aiohttp
-from aiohttp import web
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response
+from aiohttp.web_server import Server
+from aiohttp.web_ws import WebSocketResponse
 
 from pinward.annunciator import ring
 from pinward.directory.book import Book
@@ -177,8 +180,12 @@
                 self.tell_lines(peer, self.book.lacking(have))
         self.turn()
 
-    async def on_link(self, request: web.Request) -> web.WebSocketResponse:
-        ws = web.WebSocketResponse(compress=False, max_msg_size=WORD_MOST, autoping=True)
+    async def on_inner(self, request: BaseRequest) -> Any:
+        handler = {LINK: self.on_link, DESK: self.on_desk}.get(request.path)
+        return await handler(request) if handler is not None else Response(status=404)
+
+    async def on_link(self, request: BaseRequest) -> WebSocketResponse:
+        ws = WebSocketResponse(compress=False, max_msg_size=WORD_MOST, autoping=True)
         await ws.prepare(request)
         if request.transport is not None:
             guard(request.transport.get_extra_info("socket"))
@@ -190,6 +197,7 @@
             if word["t"] == "hello":
                 peer = word["from"]
                 self.meet(peer)
+                self.links[peer].kick()
                 self.keeper.met(peer)
             elif peer:
                 self.hear(peer, word)
@@ -312,8 +320,8 @@
 
     # Sessions with fronts.
 
-    async def on_desk(self, request: web.Request) -> web.WebSocketResponse:
-        ws = web.WebSocketResponse(compress=False, max_msg_size=WORD_MOST, autoping=True)
+    async def on_desk(self, request: BaseRequest) -> WebSocketResponse:
+        ws = WebSocketResponse(compress=False, max_msg_size=WORD_MOST, autoping=True)
         await ws.prepare(request)
         if request.transport is not None:
             guard(request.transport.get_extra_info("socket"))
@@ -371,22 +379,22 @@
 
     # Calls.
 
-    async def on_call(self, request: web.BaseRequest) -> web.Response:
+    async def on_call(self, request: BaseRequest) -> Response:
         found = find(request.method, request.path)
         if isinstance(found, int):
-            return web.Response(status=found, text=fault("no such call"), content_type="application/json")
+            return Response(status=found, text=fault("no such call"), content_type="application/json")
         call, word = found
         if (request.content_length or 0) > call.body_most:
-            return web.Response(status=413, text=fault("the body is too large"), content_type="application/json")
+            return Response(status=413, text=fault("the body is too large"), content_type="application/json")
         body = await request.read()
         if len(body) > call.body_most:
-            return web.Response(status=413, text=fault("the body is too large"), content_type="application/json")
+            return Response(status=413, text=fault("the body is too large"), content_type="application/json")
         try:
             status, text = await self.answer(call, word, body)
         except Exception as why:  # noqa: BLE001: a fault of the program answers this call alone
             ring(110, call=call.handler, why=repr(why))
             status, text = 500, fault("a fault in the program")
-        return web.Response(status=status, text=text, content_type="application/json")
+        return Response(status=status, text=text, content_type="application/json")
 
     async def answer(self, call: Call, word: str, body: bytes) -> Answer:
         said = checked(call, body)
@@ -533,15 +541,11 @@
         with contextlib.suppress(OSError, ValueError):
             self.book.restore(self.now(), (self.hints.read() or {"lines": []})["lines"])
             self.hinted = self.book.turn
-        inner = web.Application()
-        inner.router.add_get(LINK, self.on_link)
-        inner.router.add_get(DESK, self.on_desk)
-        runner = web.AppRunner(inner, access_log=None)
-        await runner.setup()
-        await web.TCPSite(runner, self.own, self.boot.inner).start()
-        server = web.Server(self.on_call, access_log=None)
-        host, port = self.boot.bind["Ctl"]
         loop = asyncio.get_running_loop()
+        inner = Server(self.on_inner, access_log=None)
+        await loop.create_server(inner, self.own, self.boot.inner, backlog=1024)
+        server = Server(self.on_call, access_log=None)
+        host, port = self.boot.bind["Ctl"]
         listener = await loop.create_server(server, host, port, backlog=1024)
         for peer in (*self.keeper.peers, *(host for host, _ in self.boot.peers)):
             self.meet(peer)
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -9,7 +9,9 @@
 from random import Random
 from typing import Any
 
-from aiohttp import web
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response
+from aiohttp.web_server import Server
 from multidict import CIMultiDict
 
 from pinward.annunciator import ring
@@ -92,21 +94,21 @@
 
     # Requests.
 
-    async def on_ready(self, request: web.BaseRequest) -> web.Response:
-        return web.Response(status=200 if self.ready else 503)
+    async def on_ready(self, request: BaseRequest) -> Response:
+        return Response(status=200 if self.ready else 503)
 
-    def own(self, status: int, back_s: float | None = None) -> web.Response:
-        response = web.Response(status=status)
+    def own(self, status: int, back_s: float | None = None) -> Response:
+        response = Response(status=status)
         if back_s is not None:
             response.headers["Retry-After"] = f"{back_s:.2f}"
         return self.closing(response)
 
-    def closing(self, response: web.Response) -> web.Response:
+    def closing(self, response: Response) -> Response:
         if self.leaving:
             response.force_close()
         return response
 
-    async def on_request(self, request: web.BaseRequest) -> web.Response:
+    async def on_request(self, request: BaseRequest) -> Response:
         self.open += 1
         try:
             return await self.serve(request)
@@ -118,7 +120,7 @@
         finally:
             self.open -= 1
 
-    async def serve(self, request: web.BaseRequest) -> web.Response:
+    async def serve(self, request: BaseRequest) -> Response:
         now, plan = self.now(), self.known.plan
         headers = request.headers
         if plan is None:
@@ -150,7 +152,7 @@
         call.streams = streams
         return await self.put_through(request, call, body)
 
-    async def body(self, request: web.BaseRequest) -> tuple[bytes | AsyncIterator[bytes], bool]:
+    async def body(self, request: BaseRequest) -> tuple[bytes | AsyncIterator[bytes], bool]:
         """The body whole, or what has come of it and the rest as it comes."""
         parts, size = [], 0
         async for part in request.content.iter_any():
@@ -169,7 +171,7 @@
 
         return rest(), True
 
-    async def put_through(self, request: web.BaseRequest, call: Call, body: Any) -> web.Response:
+    async def put_through(self, request: BaseRequest, call: Call, body: Any) -> Response:
         name = call.service
         tries = self.tries.get(name)
         if tries is None:
@@ -189,7 +191,7 @@
             if ending.what in ("another's", "spoilt", "cut"):
                 ring(310, iid=step.machine.entry.iid, what=ending.what)
 
-    async def send(self, request: web.BaseRequest, headers: Any, step: Send, body: Any) -> Ending:
+    async def send(self, request: BaseRequest, headers: Any, step: Send, body: Any) -> Ending:
         entry = step.machine.entry
         headers[DEADLINE] = str(max(1, int(step.allow_s * 1000)))
         headers[WANT] = entry.iid
@@ -198,22 +200,22 @@
         assert self.wire is not None
         return await self.wire.send(request.method, url, headers, body, step.allow_s, fresh)
 
-    def answer(self, request: web.BaseRequest, reply: Reply) -> web.Response:
+    def answer(self, request: BaseRequest, reply: Reply) -> Response:
         if reply.ending is None:
             return self.own(reply.status, reply.back_s)
         headers = CIMultiDict((key, value) for key, value in reply.ending.headers if key != NOT_RUN)
-        return self.closing(web.Response(status=reply.status, body=reply.ending.body, headers=headers))
+        return self.closing(Response(status=reply.status, body=reply.ending.body, headers=headers))
 
     # Life.
 
     async def run(self, stop: asyncio.Event) -> None:
         loop = asyncio.get_running_loop()
         self.wire, self.began = Wire(), self.now()
-        server = web.Server(
+        server = Server(
             self.on_request, access_log=None, max_line_size=16384, max_field_size=16384, keepalive_timeout=15.0,
             auto_decompress=False,
         )  # fmt: skip
-        asker = web.Server(self.on_ready, access_log=None)
+        asker = Server(self.on_ready, access_log=None)
         host, port = self.boot.bind["Up"]
         up = await loop.create_server(asker, host, port)
         host, port = self.boot.bind["Edge"]
--- a/pinward/trunk/link.py
+++ b/pinward/trunk/link.py
@@ -16,7 +16,7 @@
 import aiohttp
 
 SILENT_S = 1.2  # s without a sign of TCP from a peer until the connection ends: several round trips and beats
-CONNECT_S = 0.5  # s for a connection to come up
+CONNECT_S = 0.3  # s for a connection to come up
 AGAIN_S = (0.1, 0.4)  # s between two tries, drawn: reconnects of many spread
 WORDS_MOST = 2000  # words that wait for one peer
 WORD_MOST = 16 * 2**20  # bytes of one word: a snapshot with the largest configuration
@@ -39,6 +39,13 @@
     )  # fmt: skip
 
 
+def abort(ws: aiohttp.ClientWebSocketResponse) -> None:
+    """Ends a connection at once: its peer may be silent."""
+    connection = ws._response.connection
+    if connection is not None and connection.transport is not None:
+        connection.transport.abort()
+
+
 def packed(word: dict[str, Any]) -> str:
     return json.dumps(word, separators=(",", ":"))
 
@@ -54,6 +61,12 @@
         self.words: asyncio.Queue[str] = asyncio.Queue(WORDS_MOST)
         self.stands = False
         self.chance = Random(str(where))
+        self.trying: asyncio.Task[None] | None = None
+
+    def kick(self) -> None:
+        """The peer has just been heard: a try that waits for it to come up begins anew."""
+        if not self.stands and self.trying is not None:
+            self.trying.cancel()
 
     def send(self, word: dict[str, Any]) -> None:
         """Sends a word where the link stands; else it is lost, as on any network."""
@@ -65,17 +78,21 @@
 
     async def run(self) -> None:
         while True:
+            self.trying = asyncio.ensure_future(self.once())
             try:
-                await self.once()
-            except (OSError, aiohttp.ClientError, TimeoutError):
-                pass
+                await asyncio.wait((self.trying,))
             finally:
-                if self.stands:
-                    self.stands = False
-                    self.on_down()
-            await asyncio.sleep(self.chance.uniform(*AGAIN_S))
+                self.trying.cancel()
+            if not self.trying.cancelled():
+                self.trying.result()
 
     async def once(self) -> None:
+        try:
+            await self.connected()
+        except (OSError, aiohttp.ClientError, TimeoutError):
+            await asyncio.sleep(self.chance.uniform(*AGAIN_S))
+
+    async def connected(self) -> None:
         host, port = self.where
         async with asyncio.timeout(CONNECT_S):
             ws = await self.http.ws_connect(
@@ -101,6 +118,7 @@
             finally:
                 end.cancel()
         finally:
-            transport = ws._response.connection and ws._response.connection.transport
-            if transport is not None:
-                transport.abort()
+            if self.stands:
+                self.stands = False
+                self.on_down()
+            abort(ws)
--- a/pinward/trunk/session.py
+++ b/pinward/trunk/session.py
@@ -21,7 +21,7 @@
 from pinward.plan.routes import Plan
 from pinward.plan.schema import plan_of
 from pinward.trial.order import Order, Stage
-from pinward.trunk.link import CONNECT_S, DESK, WORD_MOST, guard, packed, session
+from pinward.trunk.link import CONNECT_S, DESK, WORD_MOST, abort, guard, packed, session
 
 NEWS_S = 1.5  # s for an answer to a pull, which is held less than one
 AGAIN_S = (0.05, 0.25)  # s until another control front is tried, drawn
@@ -128,6 +128,4 @@
                 if now - fresh_at > OLD_S and len(self.cores) > 1:
                     raise ConnectionResetError("the control front has no primary")
         finally:
-            transport = ws._response.connection and ws._response.connection.transport
-            if transport is not None:
-                transport.abort()
+            abort(ws)
