--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: try build test lint run toy three owners
+.PHONY: try build test lint run toy three owners gateway
 
 try: build  ## sets up all that is needed and runs a front before the toy fleet
 	.venv/bin/python -B example/toy.py --front
@@ -25,3 +25,7 @@
 owners:  ## sets up all that is needed and runs three instances and three members that share probing
 	sh deploy/test setup
 	.venv-test/bin/python -B example/owners.py
+
+gateway:  ## sets up all that is needed and runs a small gateway on loopback until Ctrl-C
+	sh deploy/test setup
+	.venv-test/bin/python -B example/gateway.py
--- a/pinward/annunciator.py
+++ b/pinward/annunciator.py
@@ -1,7 +1,7 @@
 """Numbered log events of the gateway: one table, from which docs/operate/events.md is made.
 
-A line is `NUMBER name key=value ...`, written by logbook to standard error. Values are short texts or numbers;
-bodies, headers of clients and configurations never come here.
+A line is `NUMBER name key=value ...`, written by logbook to standard error. Values are short texts or
+numbers; bodies, headers of clients and configurations never come here.
 """
 
 from __future__ import annotations
@@ -28,7 +28,8 @@
     101: Event("INFO", "stopping", "SIGTERM came; what was read is finished first.", "Nothing."),
     102: Event("INFO", "ended", "A process has ended in order.", "Nothing."),
     103: Event("INFO", "settings read", "The settings file was read anew.", "Nothing."),
-    104: Event("ERROR", "settings faulty", "The settings file is wrong; what was in force stays.", "Mend it."),
+    104: Event("ERROR", "settings faulty", "The settings file is wrong; what was in force stays.",
+               "Mend it."),
     110: Event("ERROR", "fault in a handler", "A request or word met a fault in the program.", "Report it."),
     200: Event("INFO", "view chosen", "A majority accepted a view; this machine leads it.", "Nothing."),
     201: Event("WARNING", "standing", "No primary was heard; this machine stands for one.",
@@ -38,9 +39,11 @@
     203: Event("WARNING", "disk empty", "The disk was lost; this machine votes once it was taught.",
                "Nothing within the catch-up time; then look for a primary."),
     204: Event("INFO", "taught", "A machine that had lost its disk counts again.", "Nothing."),
-    205: Event("ERROR", "disk failed", "A write was refused or a generation is damaged.", "Replace the disk."),
+    205: Event("ERROR", "disk failed", "A write was refused or a generation is damaged.",
+               "Replace the disk."),
     210: Event("INFO", "plan taken", "A configuration is durable and in force.", "Nothing."),
-    211: Event("WARNING", "plan refused", "An invalid configuration was refused.", "Tell its owner the reason."),
+    211: Event("WARNING", "plan refused", "An invalid configuration was refused.",
+               "Tell its owner the reason."),
     220: Event("INFO", "roll-out moved", "A roll-out changed its phase.", "Read the evidence in the line."),
     230: Event("INFO", "machine told", "A machine is new, drains, is gone or silent.", "Nothing."),
     300: Event("INFO", "session up", "A front stands with a control front.", "Nothing."),
--- a/pinward/command/main.py
+++ b/pinward/command/main.py
@@ -63,6 +63,19 @@
     click.echo(f"{file}: right; instance {office.name} of {office.installation}, {members} members")
 
 
+@pinward.command(
+    context_settings={"ignore_unknown_options": True, "help_option_names": []}, add_help_option=False
+)
+@click.argument("words", nargs=-1, type=click.UNPROCESSED)
+def gateway(words: tuple[str, ...]) -> None:
+    """Checks and shows what the gateway is told: `pinward gateway --help`."""
+    try:
+        from pinward.command.gateway import run
+    except ImportError:
+        raise click.ClickException("the gateway's words need the extras gateway and operators") from None
+    sys.exit(run(list(words)))
+
+
 for group in (lead, keys, cells, owners):
     pinward.add_command(group)
 
--- a/pinward/directory/book.py
+++ b/pinward/directory/book.py
@@ -47,10 +47,9 @@
             return None
         if line is not None and entry.calls >= line.entry.calls:
             line.heard = line.beaten = now
-        held = line.entry if line else None
-        if not entry.newer(held):
+        if line is not None and not entry.newer(line.entry):
             return None
-        if held is not None and entry.same(held):
+        if line is not None and entry.same(line.entry):
             line.entry = entry
             return None
         return self.write(now, entry, now)
--- a/pinward/exchange/calls.py
+++ b/pinward/exchange/calls.py
@@ -76,7 +76,11 @@
     """The call that a request makes and its path's word, or the status that it gets instead."""
     path = path.partition("?")[0].rstrip("/")
     start, _, last = path.rpartition("/")
-    known = [(c, last if c.word else "") for c in CALLS if (start if c.word else path) == c.path and (last or not c.word)]
+    known = [
+        (c, last if c.word else "")
+        for c in CALLS
+        if (start if c.word else path) == c.path and (last or not c.word)
+    ]
     if not known:
         return 404
     return next(((call, word) for call, word in known if call.verb == verb), 405)
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -26,7 +26,7 @@
 from pinward.directory.entry import Standing
 from pinward.directory.sanctioned import base_of
 from pinward.exchange.calls import Call, checked, entry_of, find
-from pinward.exchange.keeper import Keeper, Kept, View
+from pinward.exchange.keeper import Keeper, Kept, Role, View
 from pinward.exchange.vault import MACHINES, Vault
 from pinward.plan.boot import Boot
 from pinward.plan.schema import plan_of
@@ -139,7 +139,9 @@
             ring(210, version=f"{value['version']:08x}", bytes=len(value["body"]))
         elif key.startswith(ROLL):
             order = Order.of(value)
-            ring(220, service=order.service, target=order.target, number=order.number, stage=order.stage.value)
+            ring(
+                220, service=order.service, target=order.target, number=order.number, stage=order.stage.value
+            )
             self.tally.learn(self.now(), order)
         self.turn()
 
@@ -255,7 +257,7 @@
         while True:
             try:
                 self.look(self.now())
-            except Exception as why:  # noqa: BLE001: one fault must not end all beats
+            except Exception as why:  # one fault must not end all beats
                 ring(110, call="beat", why=repr(why))
             await asyncio.sleep(TICK_S)
 
@@ -277,7 +279,9 @@
         """Keeps the machines known on disk: after a loss of power calls go through before all have beaten."""
         lines = [line.entry.plain() for line in self.book.lines.values()]
         with contextlib.suppress(OSError):
-            await asyncio.get_running_loop().run_in_executor(self.disk, self.hints.write, packed({"lines": lines}).encode())
+            await asyncio.get_running_loop().run_in_executor(
+                self.disk, self.hints.write, packed({"lines": lines}).encode()
+            )
 
     def digest(self, now: float, since: float) -> None:
         for front in self.sessions:
@@ -287,8 +291,8 @@
         for entry in silent:
             ring(230, iid=entry.iid, service=entry.service, standing=entry.standing.name)
         word = {
-            "t": "digest", "beats": self.book.lately(since), "fronts": list(self.sessions), "vector": self.book.seen
-        }  # fmt: skip
+            "t": "digest", "beats": self.book.lately(since), "fronts": list(self.sessions), "vector":
+            self.book.seen }  # fmt: skip
         for peer in self.links:
             self.links[peer].send(word)
         if silent:
@@ -360,7 +364,9 @@
             plan = public.get(PLAN)
             if plan is not None and plan[2]["version"] > have["plan"]:
                 found["plan"] = plan[2]["body"]
-            stamp = max(([item[0], item[1]] for key, item in public.items() if key.startswith(ROLL)), default=[0, 0])
+            stamp = max(
+                ([item[0], item[1]] for key, item in public.items() if key.startswith(ROLL)), default=[0, 0]
+            )
             if stamp > have["orders"]:
                 found["orders"] = [order.plain() for order in self.orders()]
                 found["orders_at"] = stamp
@@ -391,7 +397,7 @@
             return Response(status=413, text=fault("the body is too large"), content_type="application/json")
         try:
             status, text = await self.answer(call, word, body)
-        except Exception as why:  # noqa: BLE001: a fault of the program answers this call alone
+        except Exception as why:  # a fault of the program answers this call alone
             ring(110, call=call.handler, why=repr(why))
             status, text = 500, fault("a fault in the program")
         return Response(status=status, text=text, content_type="application/json")
@@ -411,7 +417,9 @@
         while (left := until - self.now()) > 0:
             if self.keeper.leads(self.now()):
                 with contextlib.suppress(TimeoutError):
-                    return await asyncio.wait_for(getattr(self, call.handler)(word, said.unwrap(), body), left)
+                    return await asyncio.wait_for(
+                        getattr(self, call.handler)(word, said.unwrap(), body), left
+                    )
                 break
             primary = self.keeper.primary
             if primary in self.links and self.links[primary].stands and primary != self.own:
@@ -425,7 +433,12 @@
         self.called += 1
         number = f"{self.life}.{self.called}"
         future = self.calls[number] = asyncio.get_running_loop().create_future()
-        words = {"t": "call", "id": number, "verb": call.verb, "path": f"{call.path}/{word}" if word else call.path}
+        words = {
+            "t": "call",
+            "id": number,
+            "verb": call.verb,
+            "path": f"{call.path}/{word}" if word else call.path,
+        }
         self.send(primary, {**words, "body": body.decode("utf-8", "replace")})
         try:
             return await asyncio.wait_for(future, left)
@@ -521,7 +534,9 @@
             if order is not None and order.stage is Stage.SERVING:
                 return 409, fault(f"{order.target} is under way")
             entries = [line.entry for line in self.book.lines.values() if line.entry.service == service]
-            base = order.target if order is not None and order.stage is Stage.DONE else base_of(entries, target)
+            base = (
+                order.target if order is not None and order.stage is Stage.DONE else base_of(entries, target)
+            )
             fresh = Order(service, target, order.number + 1 if order else 1, base, said["term_s"])
             done = await self.write(key, fresh.plain())
             return (200, "{}") if done else (503, fault("the primary changed"))
@@ -553,8 +568,15 @@
         ring(100, ctl=f"{host}:{port}", inner=self.boot.inner, epoch=self.keeper.kept.promised)
         await stop.wait()
         ring(101)
+        if self.keeper.role is Role.PRIMARY:
+            self.keeper.step_down(self.now())
+            self.carry()
+            await asyncio.sleep(TICK_S)  # in which the links take it to the others
         listener.close()
         await server.shutdown(0.2)
+        for task in self.tasks:
+            task.cancel()
+        await self.http.close()
 
 
 def open_vault(boot: Boot) -> tuple[Vault, Kept]:
--- a/pinward/exchange/keeper.py
+++ b/pinward/exchange/keeper.py
@@ -1,7 +1,9 @@
 """The control state and who may change it: a primary, its copies, and witnesses that keep only epochs.
 
-A view names an epoch, its primary, the copies and the voters. The primary answers a write once its own disk and
-every copy's disk hold it. Who takes over is decided by a majority of voters that keep, durably, the highest epoch
+A view names an epoch, its primary, the copies and the voters. The primary answers a write once its own disk
+and
+every copy's disk hold it. Who takes over is decided by a majority of voters that keep, durably, the highest
+epoch
 they promised and the view they accepted; no log is replicated by them. A new view's copies hold all that the
 former view acknowledged, since its proposer was a copy there and takes nothing more of it once it asks.
 
@@ -9,8 +11,8 @@
 view that was asked for and accepted without its word teaches it anew.
 
 The machine does no I/O: `hear`, `tick`, `saved` and `propose` put what is to be done into `out`. Words that
-promise something wait in here until the disk holds it. Written after Viewstamped Replication's view changes and
-Vertical Paxos' use of a separate register of views (Lamport, Malkhi, Zhou 2009).
+promise something wait in here until the disk holds it. Written after Viewstamped Replication's view changes
+and Vertical Paxos' use of a separate register of views (Lamport, Malkhi, Zhou 2009).
 """
 
 from __future__ import annotations
@@ -29,6 +31,7 @@
 SPREAD_S = 0.35  # s, drawn on top: two copies rarely stand at once
 ROUND_S = 0.6  # s until an attempt to lead is given up, and until a copy's answer is missed
 BACK_S = 0.1  # s after its start until a former primary stands: links come up meanwhile
+FREE_S = 0.1  # s, drawn, until a copy stands whose primary gave up
 PROBE_S = 0.3  # s for a majority to say that it would help: only then an epoch is used up
 GATHER_S = 0.12  # s more, once a majority said yes, for enough copies to answer
 PAUSE_S = 0.5  # s between two changes of view by a primary that lasts
@@ -83,7 +86,12 @@
     items: dict[str, list[Any]] = field(default_factory=dict)  # key: epoch, number, value
 
     def plain(self) -> dict[str, Any]:
-        return {"promised": self.promised, "view": self.view.plain(), "blank": self.blank, "items": self.items}
+        return {
+            "promised": self.promised,
+            "view": self.view.plain(),
+            "blank": self.blank,
+            "items": self.items,
+        }
 
     @classmethod
     def of(cls, plain: dict[str, Any]) -> Kept:
@@ -258,8 +266,11 @@
             self.ask(now)
 
     def step_down(self, now: float) -> None:
+        """Leads no longer, and says so: nobody need wait until it is missed."""
         self.event(202, epoch=self.epoch)
         self.follow(now)
+        for peer in self.peers:
+            self.send(peer, t="free", n=self.epoch)
 
     def follow(self, now: float) -> None:
         self.move(Role.FOLLOWING)
@@ -432,6 +443,14 @@
     def on_blank(self, now: float, peer: str, word: Word) -> None:
         self.blanks.add(peer)
 
+    def on_free(self, now: float, peer: str, word: Word) -> None:
+        """The primary that this machine was bound to leads no longer."""
+        if self.role is Role.FOLLOWING and peer == self.bound_to and word["n"] >= self.view.epoch:
+            self.heard_at = self.helped_at = -inf
+            self.primary = None
+            if self.own in self.view.copies:
+                self.stand_at = now + FREE_S * self.chance.random()
+
     def on_sync(self, now: float, peer: str, word: Word) -> None:
         if word["n"] < self.kept.promised:
             return
@@ -461,7 +480,9 @@
     def on_seated(self, now: float, peer: str, word: Word) -> None:
         if self.role is Role.SEATING and word["n"] == self.epoch and self.next_view is not None:
             self.seated.add(peer)
-            if self.most(self.seated, self.next_view.voters) and self.most(self.seated, self.base_view.voters):
+            if self.most(self.seated, self.next_view.voters) and self.most(
+                self.seated, self.base_view.voters
+            ):
                 self.begin(now)
 
     def on_teach(self, now: float, peer: str, word: Word) -> None:
@@ -482,7 +503,9 @@
         self.would = set()
         self.stand_at = now + self.patience()
         self.peers |= set(view.voters) - {self.own}
-        if not self.kept.blank and view.epoch > self.view.epoch:  # it was chosen: its seat was lost on the way
+        if (
+            not self.kept.blank and view.epoch > self.view.epoch
+        ):  # it was chosen: its seat was lost on the way
             self.kept.promised, self.kept.view = max(self.kept.promised, view.epoch), view
             self.view_ticket = self.save(now)
         self.promise(  # only once the disk knows whom it is bound to
--- a/pinward/exchange/vault.py
+++ b/pinward/exchange/vault.py
@@ -1,8 +1,9 @@
 """The control state on disk: each save is a whole new generation, a `dbm.dumb` database of its own.
 
-`dbm.dumb` rewrites its index in place and syncs nothing, so a generation is written once, its files synced, then
-the folder, and only then counts. The newest generation whose checksum is right is taken at the start; a torn or
-missing one stands for a save that was never told. Older ones than the last two are removed.
+`dbm.dumb` rewrites its index in place and syncs nothing, so a generation is written once, its files synced,
+then
+the folder, and only then counts. The newest generation whose checksum is right is taken at the start; a torn
+or missing one stands for a save that was never told. Older ones than the last two are removed.
 """
 
 from __future__ import annotations
@@ -52,8 +53,7 @@
         self.generation = numbers[0] if numbers else 0
         for number in numbers:
             with contextlib.suppress(OSError, ValueError, KeyError, dbm.dumb.error):
-                data = self.whole(number)
-                return data
+                return self.whole(number)
         return None
 
     def whole(self, number: int) -> dict[str, Any]:
--- a/pinward/figures.py
+++ b/pinward/figures.py
@@ -135,7 +135,8 @@
     """The last outcomes of each release and product."""
 
     def __init__(self, kept: int) -> None:
-        self.kept, self.samples = kept, {}
+        self.kept = kept
+        self.samples: dict[tuple[int, Product], deque[Sample]] = {}
 
     def add(self, sample: Sample) -> None:
         key = (sample.node.release, sample.product)
--- a/pinward/plan/boot.py
+++ b/pinward/plan/boot.py
@@ -1,4 +1,5 @@
-"""What a process is told: the settings file that PINWARD_BOOT names, read and checked once, into the few figures used.
+"""What a process is told: the settings file that PINWARD_BOOT names, read and checked once, into the few
+figures used.
 
 Unknown fields are skipped. A fault is told as one line that names the file and the field.
 """
@@ -46,7 +47,9 @@
 
 class Net(Table):
     bind = fields.Dict(fields.String(), Address(), data_key="Bind", load_default=dict)
-    ports = fields.List(fields.Integer(), data_key="PortsIn", required=True, validate=validate.Length(equal=2))
+    ports = fields.List(
+        fields.Integer(), data_key="PortsIn", required=True, validate=validate.Length(equal=2)
+    )
     peers = fields.List(Address(), data_key="Peers", load_default=list)
 
 
@@ -146,10 +149,19 @@
     own, net, terms = whole["own"], whole["net"], whole["terms"]
     return Ok(
         Boot(
-            name=own["name"], ip=own["ip"], zone=own["zone"], first=own["first"], counted=own["counted"],
-            folder=own["folder"], memory_mb=own["limits"]["memory_mb"],
-            descriptors=own["limits"]["descriptors"], bind=net["bind"], inner=net["ports"][0],
-            peers=tuple(net["peers"]), beat_s=whole["platform"]["beat_s"],
-            lost_most=terms["survive"]["nodes"], bounds=Bound(**terms["bounds"]),
+            name=own["name"],
+            ip=own["ip"],
+            zone=own["zone"],
+            first=own["first"],
+            counted=own["counted"],
+            folder=own["folder"],
+            memory_mb=own["limits"]["memory_mb"],
+            descriptors=own["limits"]["descriptors"],
+            bind=net["bind"],
+            inner=net["ports"][0],
+            peers=tuple(net["peers"]),
+            beat_s=whole["platform"]["beat_s"],
+            lost_most=terms["survive"]["nodes"],
+            bounds=Bound(**terms["bounds"]),
         )  # fmt: skip
     )
--- a/pinward/plan/schema.py
+++ b/pinward/plan/schema.py
@@ -1,4 +1,5 @@
-"""A configuration as operators send it, checked whole by marshmallow; what is wrong is told by field and reason.
+"""A configuration as operators send it, checked whole by marshmallow; what is wrong is told by field and
+reason.
 
 The list of what makes one invalid is the users' (PROTOCOL, "The operator"); nothing else is refused.
 """
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -1,4 +1,6 @@
-"""A front on sockets: takes clients' requests, puts them through to machines, and says whether it is ready."""
+"""A front on sockets: takes clients' requests, puts them through to machines, and says whether it is
+ready.
+"""
 
 from __future__ import annotations
 
@@ -30,7 +32,7 @@
 DEADLINE_S = 30.0  # s a client waits that does not say how long
 UNKNOWN_S = 0.3  # s after which a client is told to come back to a front that knows no configuration yet
 BLIND_S = 4.0  # s until a front that finds no control front with a primary serves by what it knows
-LAST_S = 1.2  # s before the grace ends in which connections are closed
+LAST_S = 2.4  # s before the grace ends: connections are closed, and what was read has this long
 LISTEN = 1024  # connections that wait to be taken
 
 
@@ -114,7 +116,7 @@
             return await self.serve(request)
         except (ConnectionResetError, asyncio.CancelledError):
             raise
-        except Exception as why:  # noqa: BLE001: a fault of the program ends this request alone
+        except Exception as why:  # a fault of the program ends this request alone
             ring(110, why=repr(why))
             return self.own(500)
         finally:
@@ -212,8 +214,8 @@
         loop = asyncio.get_running_loop()
         self.wire, self.began = Wire(), self.now()
         server = Server(
-            self.on_request, access_log=None, max_line_size=16384, max_field_size=16384, keepalive_timeout=15.0,
-            auto_decompress=False,
+            self.on_request, access_log=None, max_line_size=16384, max_field_size=16384,
+            keepalive_timeout=15.0, auto_decompress=False,
         )  # fmt: skip
         asker = Server(self.on_ready, access_log=None)
         host, port = self.boot.bind["Up"]
@@ -222,7 +224,7 @@
         tasks = [asyncio.ensure_future(self.session.run()), asyncio.ensure_future(self.step())]
         ring(100, edge=f"{host}:{port}")
         ended = asyncio.ensure_future(stop.wait())
-        # Clients are taken once it knows where to put them: a refused connection costs them less than a refusal.
+        # Clients are taken once it knows where to put them: a refused connection costs them less.
         known = asyncio.ensure_future(self.known_once.wait())
         await asyncio.wait((ended, known), return_when=asyncio.FIRST_COMPLETED)
         listener = await loop.create_server(server, host, port, backlog=LISTEN)
--- a/pinward/switchboard/lines.py
+++ b/pinward/switchboard/lines.py
@@ -1,4 +1,5 @@
-"""Which machine a request goes to: by what machines told of their load, own sends, speed learned, zone and warmth.
+"""Which machine a request goes to: by what machines told of their load, own sends, speed learned, zone and
+warmth.
 
 No clock, no socket; chance comes from one seeded Random.
 """
@@ -78,7 +79,9 @@
         self.services: dict[str, Service] = {}
         self.fronts = 1
 
-    def learn(self, now: float, entries: Iterable[Entry], orders: dict[str, Order], limits: dict[str, int]) -> None:
+    def learn(
+        self, now: float, entries: Iterable[Entry], orders: dict[str, Order], limits: dict[str, int]
+    ) -> None:
         """All machines known, the orders in force, and how many connections a service's machines accept."""
         by_service: dict[str, list[Entry]] = {}
         known = set()
@@ -113,7 +116,9 @@
         part = CONNECTIONS_PART * service.connections / max(1, self.fronts)
         return max(OPEN_LEAST, part) if service.connections else inf
 
-    def pick(self, now: float, name: str, tried: list[Machine], trial: bool = False, some: int = 0) -> Machine | None:
+    def pick(
+        self, now: float, name: str, tried: list[Machine], trial: bool = False, some: int = 0
+    ) -> Machine | None:
         """The machine for a send of service `name`, one not yet tried; None where none may take it.
 
         With `trial`, one of the new build's first `some` that are well: equal load a machine.
--- a/pinward/switchboard/wire.py
+++ b/pinward/switchboard/wire.py
@@ -1,6 +1,7 @@
 """One send to a machine over aiohttp, and what its ending proves.
 
-aiohttp does more than asked by itself, so: nothing is sent again (`_retry_connection`), no redirect is followed,
+aiohttp does more than asked by itself, so: nothing is sent again (`_retry_connection`), no redirect is
+followed,
 no body decoded, no header added, the path goes out as it came. An answer counts only whole and with its
 request's id; else its connection ends.
 """
@@ -16,7 +17,9 @@
 
 from pinward.switchboard.verdict import Ending, Verdict
 
-CONNECT_S = 0.35  # s for a connection to a machine to come up: hundreds of round trips, a lost packet costs more
+CONNECT_S = (
+    0.35  # s for a connection to a machine to come up: hundreds of round trips, a lost packet costs more
+)
 REST_S = 4.0  # s that an idle connection is kept; machines close theirs later
 BODY_MOST = 8 * 2**20  # bytes of an answer held whole, so that it can be checked before it is passed on
 AUTO = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -114,4 +117,3 @@
         kept = passed_on(told)
         leaving = "close" in told.get("Connection", "").lower()
         return Ending(Verdict.RAN, "answer", answer.status, list(kept.items()), body, load, leaving=leaving)
-
--- a/pinward/tally/tries.py
+++ b/pinward/tally/tries.py
@@ -1,6 +1,7 @@
 """The budget of further tries (rule BUDGET): arrivals beyond each request's first, over all fronts.
 
-Summed over fronts, further arrivals may be `ratio` of the requests in a sliding window and `extra` once. Each front
+Summed over fronts, further arrivals may be `ratio` of the requests in a sliding window and `extra` once.
+Each front
 keeps to its own ratio, and to an equal part of half of the extra: fronts that restart forget what they spent.
 """
 
--- a/pinward/trial/front.py
+++ b/pinward/trial/front.py
@@ -1,7 +1,7 @@
 """A front's part in a roll-out: its share of sends to the new build, what it counts, and its vote.
 
-The design (docs/design.md) on the gateway's requests: the loop of `pinward.policy.loop` each 0.2 s on own outcomes
-at the new build, clamped to the cap, and votes against the earlier build.
+The design (docs/design.md) on the gateway's requests: the loop of `pinward.policy.loop` each 0.2 s on own
+outcomes at the new build, clamped to the cap, and votes against the earlier build.
 """
 
 from __future__ import annotations
@@ -68,7 +68,9 @@
             self.sent += 1
             self.credit -= 1.0
 
-    def ended(self, now: float, new: bool, route: str, fault: bool, took: float, goal_s: float, cold: bool) -> None:
+    def ended(
+        self, now: float, new: bool, route: str, fault: bool, took: float, goal_s: float, cold: bool
+    ) -> None:
         """A machine answered, well or not; what broke on the way is no verdict on a build."""
         at = 0 if new else 2
         self.counts[at] += 1
--- a/pinward/trial/tally.py
+++ b/pinward/trial/tally.py
@@ -1,8 +1,9 @@
 """The tally of a roll-out at the primary: what fronts counted and voted, and what follows.
 
-Counts are cumulative for one life of a front and one order, so that a report that comes late, twice or not at all
-does no harm; those of lives that ended stay, since their answers were given. Votes of fronts that are no longer
-members do not count. A new primary begins with none: fronts tell all again with their next report.
+Counts are cumulative for one life of a front and one order, so that a report that comes late, twice or not
+at all
+does no harm; those of lives that ended stay, since their answers were given. Votes of fronts that are no
+longer members do not count. A new primary begins with none: fronts tell all again with their next report.
 """
 
 from __future__ import annotations
@@ -52,17 +53,24 @@
     def report(self, now: float, front: str, reports: list[Any]) -> None:
         for service, number, life, age_s, counts, times, vote in reports:
             kept = self.reports.get(service)
-            if kept is None or self.begun[service][0] != number or (life not in kept and len(kept) >= LIVES_MOST):
+            if (
+                kept is None
+                or self.begun[service][0] != number
+                or (life not in kept and len(kept) >= LIVES_MOST)
+            ):
                 continue
             kept[life] = Report(now, front, age_s, counts, times, vote)
 
     def sums(self, service: str) -> tuple[list[int], float, int]:
         """Counts over all fronts; how many times slower the new build is; on how many outcomes."""
-        counts, routes = [0, 0, 0, 0], {}
+        counts = [0, 0, 0, 0]
+        routes: dict[str, list[float]] = {}
         for report in self.reports[service].values():
             counts = [a + b for a, b in zip(counts, report.counts, strict=True)]
             for route, times in report.times.items():
-                routes[route] = [a + b for a, b in zip(routes.get(route, [0, 0.0, 0, 0.0]), times, strict=True)]
+                routes[route] = [
+                    a + b for a, b in zip(routes.get(route, [0, 0.0, 0, 0.0]), times, strict=True)
+                ]
         told = [r for r in routes.values() if r[0] and r[2] >= SLOW_LEAST]
         expected = sum(n * (theirs / m) for n, _, m, theirs in told)
         seen, outcomes = sum(mine for _, mine, *_ in told), sum(int(n) for n, *_ in told)
--- a/pinward/trunk/__init__.py
+++ b/pinward/trunk/__init__.py
@@ -1,5 +1,5 @@
-"""Lines between parts of the system: words on websockets, over TCP that does not hang on a silent peer (`link`),
-and a front's session with a control front (`session`). `lean` comes before aiohttp.
+"""Lines between parts of the system: words on websockets, over TCP that does not hang on a silent peer
+(`link`), and a front's session with a control front (`session`). `lean` comes before aiohttp.
 """
 
 from pinward.trunk import lean as lean
--- a/pinward/trunk/session.py
+++ b/pinward/trunk/session.py
@@ -1,7 +1,7 @@
 """A front's session with one control front at a time: it pulls what it lacks by its vector of versions.
 
-While the session stands the front is a member. Where the control front is silent, or says that what it knows is
-old, another is sought; what was learned stays in force, and nothing older takes its place.
+While the session stands the front is a member. Where the control front is silent, or says that what it knows
+is old, another is sought; what was learned stays in force, and nothing older takes its place.
 """
 
 from __future__ import annotations
@@ -41,8 +41,8 @@
 
     def vector(self) -> dict[str, Any]:
         return {
-            "plan": self.plan.version if self.plan else -1, "orders": self.orders_at, "vector": self.book.seen,
-            "fresh": self.fresh,
+            "plan": self.plan.version if self.plan else -1, "orders": self.orders_at, "vector":
+            self.book.seen, "fresh": self.fresh,
         }  # fmt: skip
 
     def take(self, now: float, news: dict[str, Any]) -> bool:
@@ -71,14 +71,23 @@
         return changed
 
     def forget(self) -> None:
-        """Drops lives that are gone, once many are held: late news of one does nothing but bring it back as gone."""
+        """Drops lives that are gone, once many are held: late news of one does nothing but bring it back as
+        gone.
+        """
         gone = [iid for iid, line in self.book.lines.items() if line.entry.standing is Standing.GONE]
         for iid in gone[: max(0, len(gone) - 1000)]:
             del self.book.lines[iid]
 
 
 class Session:
-    def __init__(self, boot: Boot, known: Known, life: str, reports: Callable[[], list[Any]], changed: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        boot: Boot,
+        known: Known,
+        life: str,
+        reports: Callable[[], list[Any]],
+        changed: Callable[[], None],
+    ) -> None:
         self.boot, self.known, self.life = boot, known, life
         self.reports, self.changed = reports, changed
         self.chance = Random(life)
@@ -111,7 +120,12 @@
             guard(ws.get_extra_info("socket"))
             fresh_at = asyncio.get_running_loop().time()
             while True:
-                pull = {"t": "pull", "front": self.boot.name, "have": self.known.vector(), "reports": self.reports()}
+                pull = {
+                    "t": "pull",
+                    "front": self.boot.name,
+                    "have": self.known.vector(),
+                    "reports": self.reports(),
+                }
                 await ws.send_str(packed(pull))
                 message = await asyncio.wait_for(ws.receive(), NEWS_S)
                 if message.type is not aiohttp.WSMsgType.TEXT:
--- a/standin/exchange_world.py
+++ b/standin/exchange_world.py
@@ -1,6 +1,7 @@
 """A world in simulated time for the control state: keepers on a network and disks that fail on purpose.
 
-Everything is drawn from one seed. `World.run` plays some seconds of troubles and operators; `broken` holds what
+Everything is drawn from one seed. `World.run` plays some seconds of troubles and operators; `broken` holds
+what
 an outsider saw go wrong: an acknowledged write that a later read does not show, a read that went back, two
 primaries that acted in one epoch.
 """
@@ -10,6 +11,7 @@
 import copy
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from heapq import heappop, heappush
 from random import Random
 from typing import Any
@@ -39,7 +41,9 @@
 
 
 class World:
-    def __init__(self, seed: int, size: int = 3, lost_most: int = 1, mutate: Callable[..., Any] | None = None) -> None:
+    def __init__(
+        self, seed: int, size: int = 3, lost_most: int = 1, mutate: Callable[..., Any] | None = None
+    ) -> None:
         self.chance, self.now, self.count = Random(seed), 0.0, 0
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.names = [f"c{i}" for i in range(size)]
@@ -84,7 +88,7 @@
         box.saving, box.to_save, box.frozen = False, None, False
         for other in self.names:
             if other != name and self.boxes[other].keeper is not None:
-                self.do(name, lambda k, other=other: k.met(other))
+                self.do(name, partial(Keeper.met, peer=other))
                 self.do(other, lambda k: k.met(name))
         self.tick(name, box.life)
 
@@ -147,7 +151,7 @@
             for _ in range(copies):
                 late = self.chance.random() < self.mangle / 2
                 delay = self.chance.uniform(*DELAY_S) + (self.chance.uniform(0, 1.5) if late else 0.0)
-                self.after(delay, lambda one=one: self.arrive(sender, peer, one))
+                self.after(delay, partial(self.arrive, sender, peer, one))
 
     def arrive(self, sender: str, peer: str, word: dict[str, Any]) -> None:
         if (sender, peer) not in self.cuts:
@@ -232,7 +236,9 @@
         self.after(every_s, lambda: self.operate(every_s))
 
     def settles(self, within_s: float) -> bool:
-        """True where, left alone, a primary takes a write within so long, and nothing acknowledged is lost."""
+        """True where, left alone, a primary takes a write within so long, and nothing acknowledged is
+        lost.
+        """
         end = self.now + within_s
         while self.now < end:
             self.until(self.now + TICK_S)
--- /dev/null
+++ b/standin/gateway_rig.py
@@ -0,0 +1,116 @@
+"""A small gateway on loopback: exchanges, switchboards and toy machines, each told its place by a settings file.
+
+`Rig` writes the files; processes are started by whoever uses it. Toy machines live in the caller's own loop, beat to
+the exchanges and answer as PROTOCOL's machines do.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+CORES, FRONTS, MACHINES = "127.0.61.{}", "127.0.62.{}", "127.0.63.{}"
+CTL, UP, EDGE, SOCK, INNER = 18649, 18640, 18641, 18080, 17620
+BEAT_S = 0.5
+
+
+def plan(version: int, service: str = "toy", host: str = "toy.example", prefix: str = "/toy/") -> dict[str, Any]:
+    """A configuration with one route of each kind."""
+    routes = [
+        {"Name": "r-read", "Pfx": prefix, "Type": "idem", "Svc": service},
+        {"Name": "r-book", "Pfx": "/book/", "Type": "once", "Svc": service},
+    ]
+    for route in routes:
+        route.update({"Tmo": "2000ms", "Goal": "500ms", "Prio": 1, "Tries": 2})  # type: ignore[dict-item]
+    return {
+        "Ver": f"{version:08x}",
+        "Svcs": [{"Name": service, "Hcheck": "/hc", "Maxconn": 100, "Proto": "h1", "Tls": False}],
+        "Caps": {"HdrBytes": 16384, "BodyMaxBytes": 1 << 20, "Hdr": "3000ms", "Idle": "15000ms"},
+        "Hosts": [{"Vhost": host, "Vroutes": routes}],
+    }
+
+
+class Machine:
+    """One life of a toy machine."""
+
+    def __init__(self, number: int, build: str = "v1", service: str = "toy") -> None:
+        self.iid, self.build, self.service = f"i-{number:04d}", build, service
+        self.ip, self.calls, self.ran = MACHINES.format(number), 0, 0
+        self.runner: web.AppRunner | None = None
+
+    async def answer(self, request: web.Request) -> web.Response:
+        if request.path == "/hc":
+            return web.Response(headers={"X-Machine": self.iid})
+        if request.headers.get("X-Want-Machine", self.iid) != self.iid:
+            return web.Response(status=421, headers={"X-Machine": self.iid})
+        self.ran += 1
+        headers = {"X-Try-Id": request.headers.get("X-Try-Id", ""), "X-Stamp": f"{self.iid}.{self.ran}"}
+        headers["X-Load"] = "0,0,6"
+        return web.Response(text=f"{self.build} of {self.iid}: {request.path}\n", headers=headers)
+
+    async def start(self) -> None:
+        app = web.Application()
+        app.router.add_route("*", "/{tail:.*}", self.answer)
+        self.runner = web.AppRunner(app, access_log=None)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, self.ip, SOCK).start()
+
+    def beat(self, phase: str = "up") -> dict[str, Any]:
+        self.calls += 1
+        desc = {"Svc": self.service, "Ver": self.build, "Az": "here", "Cap": 6}
+        stat = {"Phase": phase, "Calls": self.calls, "Warmup": "0ms"}
+        return {"Sock": f"{self.ip}:{SOCK}", "Desc": desc, "Stat": stat}
+
+
+class Rig:
+    """The settings of `cores` exchanges and `fronts` switchboards in a folder."""
+
+    def __init__(self, folder: Path, cores: int = 3, fronts: int = 2) -> None:
+        self.folder = folder
+        self.cores = [CORES.format(i + 1) for i in range(cores)]
+        self.fronts = [FRONTS.format(i + 1) for i in range(fronts)]
+
+    def settings(self, ip: str) -> Path:
+        """Writes the settings of one process and returns their file."""
+        core = ip in self.cores
+        name = f"{'core' if core else 'edge'}-{ip.rpartition('.')[2]}"
+        data = self.folder / name
+        data.mkdir(exist_ok=True)
+        bind = {"Ctl": f"{ip}:{CTL}"} if core else {"Edge": f"{ip}:{EDGE}", "Up": f"{ip}:{UP}"}
+        told = {
+            "Self": {
+                "HostName": name, "Tiers": ["ctl" if core else "edge"], "Ipaddr": ip, "Az": "here",
+                "Quorum": core, "Init": True, "VarDir": str(data) if core else None,
+            },
+            "Net": {"Bind": bind, "PortsIn": [INNER, INNER + 9], "Peers": [f"{c}:{CTL}" for c in self.cores]},
+            "Plat": {"Hb": f"{BEAT_S}s"},
+            "Terms": {"Survive": {"Nodes": 1}, "Bnds": {"Grace": "3s"}},
+        }  # fmt: skip
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(told, indent=1))
+        return path
+
+    async def call(self, http: aiohttp.ClientSession, verb: str, path: str, body: Any = None) -> tuple[int, str]:
+        """A call of a machine or the operator: each exchange in turn, until one answers."""
+        for core in self.cores:
+            try:
+                async with http.request(
+                    verb, f"http://{core}:{CTL}{path}", json=body, timeout=aiohttp.ClientTimeout(total=1.0)
+                ) as answer:
+                    if answer.status < 500:
+                        return answer.status, await answer.text()
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                continue
+        return 0, ""
+
+    async def beats(self, http: aiohttp.ClientSession, machines: list[Machine]) -> None:
+        """Beats of all machines, for ever."""
+        while True:
+            for machine in machines:
+                await self.call(http, "PUT", f"/machines/{machine.iid}", machine.beat())
+            await asyncio.sleep(BEAT_S)
