--- a/pinward/directory/sanctioned.py
+++ b/pinward/directory/sanctioned.py
@@ -9,16 +9,26 @@
 from pinward.trial.order import Order, Stage
 
 
-def base_of(entries: Iterable[Entry], target: str | None) -> str:
-    """The build that most machines of a service have, `target` aside; empty where none is known."""
-    builds = Counter(e.build for e in entries if e.standing is not Standing.GONE and e.build != target)
+def base_of(entries: Iterable[Entry], *aside: str) -> str:
+    """The build that most machines of a service have, some builds aside; empty where none is known."""
+    builds = Counter(e.build for e in entries if e.standing is not Standing.GONE and e.build not in aside)
     return max(builds, key=lambda build: (builds[build], build)) if builds else ""
 
 
+def earlier(entries: Iterable[Entry], last: Order | None, target: str) -> str:
+    """The build that a new order to `target` moves traffic from. One that was sent back is none: its machines
+    are there for some seconds yet."""
+    if last is None:
+        return base_of(entries, target)
+    if last.stage is Stage.DONE:
+        return last.target
+    return last.base or base_of(entries, target, last.target)
+
+
 def sanctioned(entries: Iterable[Entry], order: Order | None) -> tuple[str, str | None]:
     """The earlier build of a service and, while one is on trial, the new one."""
     if order is None:
-        return base_of(entries, None), None
+        return base_of(entries), None
     if order.stage is Stage.DONE:
         return order.target, None
     base = order.base or base_of(entries, order.target)
--- a/pinward/exchange/__main__.py
+++ b/pinward/exchange/__main__.py
@@ -15,9 +15,10 @@
 async def serve(boot: Boot) -> None:
     stop, loop = asyncio.Event(), asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     vault, kept = open_vault(boot)
-    await Exchange(boot, vault, kept, time.monotonic()).run(stop)
+    exchange = Exchange(boot, vault, kept, time.monotonic())
+    loop.add_signal_handler(signal.SIGHUP, exchange.reread, True)
+    await exchange.run(stop)
     ring(102)
 
 
--- /dev/null
+++ b/pinward/exchange/desk.py
@@ -0,0 +1,98 @@
+"""Sessions with fronts: while one stands its front is a member; it pulls what it lacks."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_ws import WebSocketResponse
+
+from pinward.exchange.parts import PLAN, ROLL, Parts
+from pinward.trunk.link import WORD_MOST, guard, packed
+
+PULL_S = 0.8  # s that a pull with nothing to tell is held
+PULLS_S = 3.0  # s without a pull until a session ends
+MEMBER_S = 3.0  # s that a front counts after it was last told of
+
+
+class Desk:
+    def __init__(self, parts: Parts, report: Callable[[str, list[Any]], None]) -> None:
+        self.parts, self.report = parts, report
+        self.fronts: dict[str, float] = {}  # members, and when they were last told of
+        self.sessions: Counter[str] = Counter()
+
+    def told(self, now: float, fronts: list[str]) -> None:
+        """These fronts have sessions, here or at another control front."""
+        for front in fronts:
+            self.fronts[front] = now
+
+    def age(self, now: float) -> list[str]:
+        """Forgets members not told of for long; the fronts with a session here."""
+        self.told(now, list(self.sessions))
+        self.fronts = {front: at for front, at in self.fronts.items() if now - at < MEMBER_S}
+        return list(self.sessions)
+
+    async def on_desk(self, request: BaseRequest) -> WebSocketResponse:
+        ws = WebSocketResponse(compress=False, max_msg_size=WORD_MOST, autoping=True)
+        await ws.prepare(request)
+        if request.transport is not None:
+            guard(request.transport.get_extra_info("socket"))
+        front = ""
+        try:
+            while True:
+                try:
+                    message = await asyncio.wait_for(ws.receive(), PULLS_S)
+                except TimeoutError:
+                    break
+                if message.type is not aiohttp.WSMsgType.TEXT:
+                    break
+                word = json.loads(message.data)
+                if not front:
+                    front = word["front"]
+                    self.sessions[front] += 1
+                    self.fronts[front] = self.parts.now()
+                if word["reports"]:
+                    self.report(front, word["reports"])
+                    self.parts.carry()
+                await ws.send_str(packed(await self.news(word["have"])))
+        finally:
+            if front:
+                self.sessions[front] -= 1
+                if not self.sessions[front]:
+                    del self.sessions[front]
+        return ws
+
+    async def news(self, have: dict[str, Any]) -> dict[str, Any]:
+        """What a front lacks, as soon as there is something, or after the time that a pull is held."""
+        until = self.parts.now() + PULL_S
+        vector = {source: (life, number) for source, (life, number) in have["vector"].items()}
+        while True:
+            turned, found = self.parts.turned, {}
+            public = self.parts.keeper.public
+            plan = public.get(PLAN)
+            if plan is not None and plan[2]["version"] > have["plan"]:
+                found["plan"] = plan[2]["body"]
+            stamp = max(
+                ([item[0], item[1]] for key, item in public.items() if key.startswith(ROLL)), default=[0, 0]
+            )
+            if stamp > have["orders"]:
+                found["orders"] = [order.plain() for order in self.parts.orders()]
+                found["orders_at"] = stamp
+            lines = self.parts.book.lacking(vector)
+            if lines:
+                found["lines"] = lines
+                found["vector"] = dict(self.parts.book.seen)
+            left, fresh = until - self.parts.now(), self.parts.keeper.fresh(self.parts.now())
+            if found or left <= 0 or fresh != have["fresh"]:
+                found["fronts"] = len(self.fronts)
+                found["fresh"] = fresh
+                found["cores"] = sorted({self.parts.own, *self.parts.keeper.view.voters})
+                return found
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(turned.wait(), left)
--- /dev/null
+++ b/pinward/exchange/parts.py
@@ -0,0 +1,62 @@
+"""What the parts of a control front share: its state machines, and how they are woken and carried out."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from abc import ABC, abstractmethod
+from typing import Any
+
+from pinward.directory.book import Book
+from pinward.exchange.keeper import Keeper, Kept
+from pinward.plan.boot import Boot
+from pinward.trial.order import Order
+from pinward.trial.tally import Tally
+from pinward.trunk.link import Link
+
+PLAN, ROLL = "plan", "roll:"  # keys of the control state
+TICK_S = 0.05  # s between looks at the clock
+
+
+class Parts(ABC):
+    """State machines of one control front, and the links to the others. `host.Exchange` has them at work."""
+
+    def __init__(self, boot: Boot, kept: Kept, now: float) -> None:
+        self.boot, self.own, self.life = boot, boot.ip, os.urandom(6).hex()
+        self.keeper = Keeper(self.own, kept, boot.lost_most, self.life, now)
+        self.book = Book(self.own, self.life, boot.beat_s)
+        self.tally = Tally(boot.bounds)
+        self.links: dict[str, Link] = {}
+        self.have: dict[str, dict[str, Any]] = {}  # what each other control front says that it holds
+        self.fresh_at = now  # when this machine last knew of a primary; a start counts
+        self.turned = asyncio.Event()  # set, and replaced, at each change that fronts are told
+        self.held = asyncio.Event()  # set, and replaced, when another control front says what it holds
+
+    @staticmethod
+    def now() -> float:
+        return time.monotonic()
+
+    def turn(self) -> None:
+        self.turned.set()
+        self.turned = asyncio.Event()
+
+    def turn_held(self) -> None:
+        self.held.set()
+        self.held = asyncio.Event()
+
+    def orders(self) -> list[Order]:
+        """The roll-outs that a view has acknowledged."""
+        return [Order.of(item[2]) for key, item in self.keeper.public.items() if key.startswith(ROLL)]
+
+    @abstractmethod
+    def carry(self) -> None:
+        """Carries out what the keeper put into `out`."""
+
+    @abstractmethod
+    def send(self, peer: str, word: dict[str, Any]) -> None:
+        """A word to another control front, lost where its link does not stand."""
+
+    @abstractmethod
+    def spread(self) -> None:
+        """Tells control fronts and fronts what is new in the book."""
--- a/pinward/plan/boot.py
+++ b/pinward/plan/boot.py
@@ -165,3 +165,26 @@
             bounds=Bound(**terms["bounds"]),
         )  # fmt: skip
     )
+
+
+class Watched:
+    """The settings file as it changes, with a signal or without."""
+
+    def __init__(self, env: Mapping[str, str] = os.environ) -> None:
+        self.env = env
+        self.stamp = self.look()
+
+    def look(self) -> tuple[int, int] | None:
+        try:
+            told = os.stat(self.env.get("PINWARD_BOOT", ""))
+        except OSError:
+            return None
+        return told.st_mtime_ns, told.st_size
+
+    def changed(self, anyway: bool = False) -> Result[Boot, str] | None:
+        """What the file says now, where it changed or is to be read anyway; None where there is no news."""
+        stamp = self.look()
+        if stamp is None or (stamp == self.stamp and not anyway):
+            return None
+        self.stamp = stamp
+        return read_boot(self.env)
--- a/pinward/switchboard/__main__.py
+++ b/pinward/switchboard/__main__.py
@@ -15,8 +15,9 @@
 async def serve(boot: Boot) -> None:
     stop, loop = asyncio.Event(), asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
-    await Switchboard(boot).run(stop)
+    board = Switchboard(boot)
+    loop.add_signal_handler(signal.SIGHUP, board.reread, True)
+    await board.run(stop)
     ring(102)
 
 
--- a/pinward/switchboard/call.py
+++ b/pinward/switchboard/call.py
@@ -18,6 +18,7 @@
 
 AGAIN_PART = 0.5  # of the service's usual time that must be left for a further try to be of use
 BACK_S = (0.1, 0.3)  # s after which a client is told to come back, drawn: they come spread
+ADMIT, ADMIT_RANK, ADMIT_LEAST = 1.0, 0.05, 0.6  # of the goal: expected time at most; less for each rank
 LEAST_S = 0.004  # s below which nothing is sent any more: a machine would be asked in vain
 
 
@@ -79,13 +80,16 @@
         if trial is not None and service is not None:
             if not self.tried:
                 trial.take(service.part())
-            if trial.wants(lines.fronts):
+            if trial.wants(lines.fronts) and not self.tried:
                 some = max(1, round(trial.bounds.trial_cap * len(service.base)))
                 machine = lines.pick(now, self.service, self.tried, True, some)
                 new = machine is not None
         machine = machine or lines.pick(now, self.service, self.tried)
         if machine is None:
             return self.reply(lines)
+        if not self.tried and not new and self.hopeless(now, lines, machine):
+            self.move(State.ENDED)
+            return Reply(503, back_s=lines.chance.uniform(*BACK_S))
         if trial is not None:
             trial.sends(new)
         if self.tried:
@@ -96,6 +100,14 @@
         self.sending, self.sent_at = Send(machine, left, new), now
         return self.sending
 
+    def hopeless(self, now: float, lines: Lines, machine: Machine) -> bool:
+        # Guards against queues of late work: the best machine found is full and would answer after the goal.
+        # Low ranks go first. Harm: where the load told is old, one that would have been in time.
+        goal_s = self.route.goal_s or self.route.timeout_s
+        part = max(ADMIT_LEAST, ADMIT - ADMIT_RANK * self.route.rank)
+        full = machine.busy(now) >= machine.entry.slots
+        return full and lines.expected(now, machine) > part * goal_s
+
     def again(self, now: float, lines: Lines, tries: Tries) -> bool:
         """True where another machine may be tried."""
         last = self.last
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -16,7 +16,7 @@
 from multidict import CIMultiDict
 
 from pinward.annunciator import ring
-from pinward.plan.boot import Boot
+from pinward.plan.boot import Boot, Watched
 from pinward.switchboard.call import Call, Reply, Send
 from pinward.switchboard.lines import Lines
 from pinward.switchboard.verdict import Ending
@@ -27,6 +27,7 @@
 from pinward.trunk.session import Known, Session
 
 STEP_S = 0.1  # s between looks at what time changes
+REREAD_S = 2.0  # s between looks at the settings file, which may change without a signal
 HELD_MOST = 256 * 1024  # bytes of a request's body held whole, so that it can be sent again
 DEADLINE_S = 30.0  # s a client waits that does not say how long
 UNKNOWN_S = 0.3  # s after which a client is told to come back to a front that knows no configuration yet
@@ -52,7 +53,8 @@
         self.ready = self.leaving = False
         self.known_once = asyncio.Event()
         self.open = 0
-        self.began = 0.0
+        self.began = self.reread_at = 0.0
+        self.watched = Watched()
         self.server: Server | None = None
         self.waits: dict[Any, float] = {}  # clients' connections with no request, and since when
 
@@ -88,10 +90,25 @@
     def reports(self) -> list[Any]:
         return [trial.report(self.now(), self.life) for trial in self.trials.values()]
 
+    def reread(self, anyway: bool = False) -> None:
+        """Takes in a settings file that changed; of a faulty one the fault is told, and nothing else."""
+        told = self.watched.changed(anyway)
+        if told is None:
+            return
+        if told.is_err():
+            ring(104, why=told.unwrap_err())
+            return
+        self.boot = self.session.boot = told.unwrap()
+        self.session.learn_cores([host for host, _ in self.boot.peers])
+        ring(103, peers=len(self.boot.peers))
+
     async def step(self) -> None:
         while True:
             await asyncio.sleep(STEP_S)
             now = self.now()
+            if now >= self.reread_at:
+                self.reread_at = now + REREAD_S
+                self.reread()
             self.look(now)
             self.end_idle(now)
             for trial in self.trials.values():
--- a/pinward/switchboard/lines.py
+++ b/pinward/switchboard/lines.py
@@ -26,6 +26,7 @@
 SHAKY_S = 8.0  # s after a spoilt or broken answer in which `once` requests get connections of their own
 CONNECTIONS_PART = 0.8  # of what a machine accepts, for all fronts together
 OPEN_LEAST = 2  # sends at a machine that any front may have open
+ANSWERS_S = 3.0  # s after a whole answer in which silence of its beats is no reason to leave a machine out
 GUESS_S = 0.1  # s of a service whose times are not known yet
 
 
@@ -38,6 +39,7 @@
         self.open = 0
         self.told, self.told_at, self.told_open = 0.0, -inf, 0
         self.full_until = self.aside_until = self.shaky_until = -inf
+        self.good_at = -inf  # its last whole answer
         self.failed, self.aside_s = 0, 0.0
         self.speed = 1.0  # times the service's usual
         self.trial = False
@@ -99,8 +101,9 @@
             service = self.services.setdefault(name, Service())
             found = by_service.get(name, [])
             base, target = sanctioned(found, orders.get(name))
-            up = [self.machines[e.iid] for e in found if e.standing is Standing.UP]
-            silent = [self.machines[e.iid] for e in found if e.standing is Standing.SILENT]
+            some = [self.machines[e.iid] for e in found]
+            up = [m for m in some if m.entry.standing is Standing.UP or self.answers(now, m)]
+            silent = [m for m in some if m.entry.standing is Standing.SILENT]
             service.base = [m for m in up if m.entry.build == base]
             service.base = service.base or [m for m in silent if m.entry.build == base]
             service.trial = sorted(
@@ -112,6 +115,17 @@
             for machine in service.trial:
                 machine.trial = True
 
+    @staticmethod
+    def answers(now: float, machine: Machine) -> bool:
+        # Guards against beats lost with a control front: an answer tells more. Harm: an error a front.
+        return machine.entry.standing is Standing.SILENT and now - machine.good_at < ANSWERS_S
+
+    def expected(self, now: float, machine: Machine) -> float:
+        """About how many seconds a request takes there, in the service's usual times."""
+        service = self.services[machine.entry.service]
+        over = max(0.0, machine.busy(now) + 1 - machine.entry.slots) / machine.entry.slots
+        return service.usual_s * machine.speed * (1.0 + over)
+
     def open_most(self, service: Service) -> float:
         part = CONNECTIONS_PART * service.connections / max(1, self.fronts)
         return max(OPEN_LEAST, part) if service.connections else inf
@@ -158,9 +172,10 @@
             running, waiting, _ = ending.load
             machine.told, machine.told_at, machine.told_open = running + waiting, now, machine.open
         if ending.verdict is Verdict.RAN:
-            machine.failed, machine.aside_s = 0, 0.0
+            machine.failed, machine.aside_s, machine.good_at = 0, 0.0, now
             service = self.services.get(machine.entry.service)
-            if service is not None and ending.status < 500:
+            queued = ending.load is not None and ending.load[1] > 0  # its time tells of the queue
+            if service is not None and ending.status < 500 and not queued:
                 service.usual_s = 0.98 * service.usual_s + 0.02 * min(took, 10 * service.usual_s)
                 if now >= machine.warm_at:
                     part = min(4.0, took / service.usual_s)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -11,7 +11,7 @@
 
 from pinward.directory.book import HINT_S, Book
 from pinward.directory.entry import Entry, Standing
-from pinward.directory.sanctioned import sanctioned
+from pinward.directory.sanctioned import earlier, sanctioned
 from pinward.plan.boot import boot_of
 from pinward.plan.routes import Route
 from pinward.switchboard.call import Call, Reply, Send
@@ -91,6 +91,12 @@
         self.assertThat(sanctioned(some, order), Equals(("v1", "v2")))
         self.assertThat(sanctioned(some, order.moved(Stage.UNDONE)), Equals(("v1", None)))
         self.assertThat(sanctioned(some, order.moved(Stage.DONE)), Equals(("v2", None)))
+        crowd = [entry(1), entry(2, "v2"), entry(3, "v2"), entry(4, "v3")]
+        undone = order.moved(Stage.UNDONE)
+        self.assertThat(earlier(crowd, undone, "v3"), Equals("v1"))
+        self.assertThat(earlier(crowd, replace(undone, base=""), "v3"), Equals("v1"))
+        self.assertThat(earlier(crowd, order.moved(Stage.DONE), "v3"), Equals("v2"))
+        self.assertThat(earlier(crowd, None, "v2"), Equals("v3"))
         self.assertRaises(ValueError, order.moved(Stage.DONE).moved, Stage.UNDONE)
 
 
