--- a/pinward/exchange/calls.py
+++ b/pinward/exchange/calls.py
@@ -58,16 +58,16 @@
     word: bool  # one more word ends the path
     handler: str
     primary: bool
-    sheet: type[Schema] | None
+    sheet: Schema | None
     body_most: int  # bytes
 
 
 CALLS = (
-    Call("PUT", "/machines", True, "beat_call", False, BeatSheet, 64 * 1024),
+    Call("PUT", "/machines", True, "beat_call", False, BeatSheet(), 64 * 1024),
     Call("DELETE", "/machines", True, "leave", False, None, 4 * 1024),
     Call("PUT", "/cfg", False, "put_plan", True, None, 8 * 2**20),
     Call("GET", "/cfg", False, "get_plan", True, None, 4 * 1024),
-    Call("POST", "/rolls", False, "start_roll", True, OrderSheet, 64 * 1024),
+    Call("POST", "/rolls", False, "start_roll", True, OrderSheet(), 64 * 1024),
     Call("GET", "/rolls", True, "get_roll", True, None, 4 * 1024),
 )
 
@@ -91,7 +91,7 @@
     if call.sheet is None:
         return Ok(body)
     try:
-        return Ok(call.sheet().load(json.loads(body)))
+        return Ok(call.sheet.load(json.loads(body)))
     except ValidationError as fault:
         return Err(spell(fault.messages))
     except ValueError as fault:
--- a/pinward/exchange/desk.py
+++ b/pinward/exchange/desk.py
@@ -17,6 +17,7 @@
 from pinward.trunk.link import WORD_MOST, guard, packed
 
 PULL_S = 0.8  # s that a pull with nothing to tell is held
+GAP_S = 0.1  # s between two answers to one front: many changes at once are one piece of news
 PULLS_S = 3.0  # s without a pull until a session ends
 MEMBER_S = 3.0  # s that a front counts after it was last told of
 
@@ -43,7 +44,7 @@
         await ws.prepare(request)
         if request.transport is not None:
             guard(request.transport.get_extra_info("socket"))
-        front = ""
+        front, last = "", 0.0
         try:
             while True:
                 try:
@@ -60,7 +61,9 @@
                 if word["reports"]:
                     self.report(front, word["reports"])
                     self.parts.carry()
-                await ws.send_str(packed(await self.news(word["have"])))
+                news = await self.news(word["have"], last + GAP_S)
+                last = self.parts.now()
+                await ws.send_str(packed(news))
         finally:
             if front:
                 self.sessions[front] -= 1
@@ -68,8 +71,9 @@
                     del self.sessions[front]
         return ws
 
-    async def news(self, have: dict[str, Any]) -> dict[str, Any]:
+    async def news(self, have: dict[str, Any], earliest: float) -> dict[str, Any]:
         """What a front lacks, as soon as there is something, or after the time that a pull is held."""
+        await asyncio.sleep(max(0.0, earliest - self.parts.now()))
         until = self.parts.now() + PULL_S
         vector = {source: (life, number) for source, (life, number) in have["vector"].items()}
         while True:
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -31,6 +31,7 @@
 DIGEST_S = 0.5  # s between two words on who was heard
 REREAD_S = 2.0  # s between looks at the settings file, which may change without a signal
 HINT_S = 1.5  # s between two writings of the machines known
+SPREAD_S = 0.02  # s that changes of machines wait for others of the same moment
 STOP_S = 0.2  # s for calls that are being answered as the process ends
 
 
@@ -44,7 +45,7 @@
         self.sent: dict[str, int] = {}  # own changes told to each control front
         self.disk = ThreadPoolExecutor(1)
         self.to_save: tuple[int, bytes] | None = None
-        self.saving = False
+        self.saving = self.spreading = False
         self.tasks: set[asyncio.Task[Any]] = set()
         self.told_at, self.was_fresh = now, False
         self.watched, self.reread_at = Watched(), now
@@ -137,7 +138,13 @@
         self.sent[peer] = self.book.seen[self.own][1]
 
     def spread(self) -> None:
-        """Tells the other control fronts what is new here."""
+        """Tells the other control fronts what is new here, many changes of one moment together."""
+        if not self.spreading:
+            self.spreading = True
+            asyncio.get_running_loop().call_later(SPREAD_S, self.spread_now)
+
+    def spread_now(self) -> None:
+        self.spreading = False
         for peer, link in self.links.items():
             if link.stands and self.sent.get(peer, 0) < self.book.seen[self.own][1]:
                 have = {**self.book.seen, self.own: (self.life, self.sent.get(peer, 0))}
--- a/pinward/plan/schema.py
+++ b/pinward/plan/schema.py
@@ -86,12 +86,7 @@
                         raise ValidationError(f"route {route['name']!r} names unknown {service!r}", "Svc")
 
 
-def version_of(body: bytes) -> int | None:
-    """The version of a configuration that may be invalid otherwise; None where it cannot be told."""
-    try:
-        return int(json.loads(body)["Ver"], 16)
-    except (ValueError, TypeError, KeyError):
-        return None
+PLAN = PlanSheet()  # made once: making one costs more than a small configuration's check
 
 
 def plan_of(body: bytes | str) -> Result[Plan, str]:
@@ -101,7 +96,7 @@
     except ValueError as fault:
         return Err(f"the whole: cannot be read: {fault}")
     try:
-        data: dict[str, Any] = PlanSheet().load(told)
+        data: dict[str, Any] = PLAN.load(told)
     except ValidationError as fault:
         return Err(spell(fault.messages))
     hosts: dict[str, dict[str, Route]] = {}
