--- a/pinward/switchboard/lines.py
+++ b/pinward/switchboard/lines.py
@@ -17,8 +17,8 @@
 
 DRAWS = 4  # machines looked at for a request: the best of a few, lest all fronts choose the same
 LOAD_S = 0.8  # s in which what a machine told of its load fades to what is usual there
-AWAY = 0.35  # of a slot's time that another zone costs: bytes between zones are priced
-SPILL = 0.6  # of the slots busy at the best near machine, from which on other zones are looked at
+AWAY = 0.5  # of the usual time that another zone costs: bytes between zones are priced
+SPILL = 1.1  # of the slots busy at the best near machine, from which on other zones are looked at
 SPEED_KEPT = 0.9  # of the speed learned that stays with each answer
 ASIDE_S = (0.4, 4.0)  # s that a machine is left out after failures in a row, doubled each time
 ASIDE_AFTER = 2  # failures in a row; a refused connection counts as enough
