As a front leaves, idle connections end; before, they were read on and never answered

In aiohttp's web_protocol, close() of an idle connection cancels its task, whose end leaves the transport open: bytes are still read and parsed, nobody serves them. Change: force_close on connections without an unanswered request, as the front leaves and when idle for too long, until none is left. Test: an idle connection is closed and one at work answered.

--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -117,14 +117,26 @@
                 if trial.vote != vote:
                     ring(320, service=trial.order.service, vote=trial.vote or "none", why=trial.why)
 
+    @staticmethod
+    def idle(connection: Any) -> bool:
+        """True where no request of a connection was read that is not answered."""
+        return connection._current_request is None and not connection._messages
+
+    def end_unasked(self, server: Server) -> int:
+        """Closes connections on which nothing waits; returns how many are left."""
+        # aiohttp's `close` leaves an idle one open and reads on: what came next was never answered.
+        for connection in [c for c in server.connections if self.idle(c)]:
+            connection.force_close()
+        return len(server.connections)
+
     def end_idle(self, now: float) -> None:
         # Guards against connections that never ask: aiohttp ends only those that asked once. Harm: none.
         waits = {}
         for connection in self.server.connections if self.server is not None else ():
-            if connection._current_request is None:
+            if self.idle(connection):
                 since = waits[connection] = self.waits.get(connection, now)
                 if now - since > (self.known.plan.idle_s if self.known.plan else IDLE_S):
-                    connection.close()
+                    connection.force_close()
         self.waits = waits
 
     # Requests.
@@ -292,8 +304,5 @@
         end = self.now() + self.boot.bounds.grace_s
         await asyncio.sleep(max(0.0, end - LAST_S - self.now()))
         listener.close()
-        for connection in server.connections:
-            if connection._current_request is None:
-                connection.close()
-        while self.open and self.now() < end - EXIT_S:
+        while self.end_unasked(server) and self.now() < end - EXIT_S:
             await asyncio.sleep(0.02)
--- a/tests/test_gateway_wire.py
+++ b/tests/test_gateway_wire.py
@@ -15,7 +15,7 @@
 from pinward.directory.entry import Entry, Standing
 from pinward.plan.boot import boot_of
 from pinward.plan.schema import plan_of
-from pinward.switchboard.host import Switchboard
+from pinward.switchboard.host import LAST_S, Switchboard
 from pinward.switchboard.verdict import Verdict
 from pinward.switchboard.wire import Wire
 from standin.gateway_rig import plan
@@ -143,24 +143,8 @@
 
         async def work() -> bytes:
             port = await machine.start()
-            boot = replace(
-                boot_of(Settings.TOLD).unwrap(), bind={"Up": ("127.0.0.1", 0), "Edge": ("127.0.62.9", 18641)},
-                peers=(("127.0.62.9", 1),),
-            )  # fmt: skip
-            board, stop = Switchboard(boot), asyncio.Event()
-            board.known.plan = plan_of(json.dumps(plan(1))).unwrap()
-            life = Entry("i1", "toy", ("127.0.0.1", port), "here", "v1", 6, Standing.UP, 1)
-            board.known.book.merge(0.0, "", {}, [[life.plain(), "m", "l", 1]])
-            board.known.fresh = True
-            running = asyncio.ensure_future(board.run(stop))
-            await asyncio.sleep(0)
-            board.changed()
-            while True:
-                try:
-                    reader, writer = await asyncio.open_connection("127.0.62.9", 18641)
-                    break
-                except ConnectionRefusedError:
-                    await asyncio.sleep(0)
+            _, _, running = await self.board(port)
+            reader, writer = await asyncio.open_connection("127.0.62.9", 18641)
             writer.write(raw)
             if end:
                 writer.write_eof()
@@ -172,6 +156,68 @@
 
         return played(work), machine
 
+    def test_as_it_leaves_an_idle_connection_is_closed_and_one_at_work_answered(self) -> None:
+        """Symptom: an idle connection stayed open unserved, what came on it was read and never answered."""
+
+        async def work() -> tuple[bytes, bytes]:
+            asked, go_on = asyncio.Event(), asyncio.Event()
+
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                await reader.readuntil(b"\r\n\r\n")
+                asked.set()
+                await go_on.wait()
+                writer.write(SOUND)
+                await reader.read()
+                writer.close()
+
+            machine = await asyncio.start_server(serve, "127.0.0.1", 0)
+            board, stop, running = await self.board(machine.sockets[0].getsockname()[1])
+            idle, idle_out = await asyncio.open_connection("127.0.62.9", 18641)
+            busy, busy_out = await asyncio.open_connection("127.0.62.9", 18641)
+            busy_out.write(self.GET)
+            await asked.wait()
+            stop.set()
+            end = await idle.read()  # returns only once the switchboard closes it
+            go_on.set()
+            answer = await busy.read()
+            await running
+            for writer in (idle_out, busy_out):
+                writer.close()
+            machine.close()
+            return end, answer
+
+        end, answer = played(work)
+        self.assertThat(end, Equals(b""))
+        self.assertThat(answer, StartsWith(b"HTTP/1.1 200 OK\r\n"))
+        self.assertThat(answer.lower(), Contains(b"connection: close\r\n"))
+
+    async def board(self, port: int) -> tuple[Switchboard, asyncio.Event, asyncio.Future[None]]:
+        """A switchboard that serves, has one machine at that port, and leaves without delay."""
+        boot = boot_of(Settings.TOLD).unwrap()
+        boot = replace(
+            boot, bind={"Up": ("127.0.0.1", 0), "Edge": ("127.0.62.9", 18641)}, peers=(("127.0.62.9", 1),),
+            bounds=replace(boot.bounds, grace_s=LAST_S),
+        )  # fmt: skip
+        board, stop = Switchboard(boot), asyncio.Event()
+        board.known.plan = plan_of(json.dumps(plan(1))).unwrap()
+        life = Entry("i1", "toy", ("127.0.0.1", port), "here", "v1", 6, Standing.UP, 1)
+        board.known.book.merge(0.0, "", {}, [[life.plain(), "m", "l", 1]])
+        board.known.fresh = True
+        running = asyncio.ensure_future(board.run(stop))
+        await asyncio.sleep(0)
+        board.changed()
+        while board.server is None or not await self.taken():
+            await asyncio.sleep(0)
+        return board, stop, running
+
+    async def taken(self) -> bool:
+        try:
+            _, writer = await asyncio.open_connection("127.0.62.9", 18641)
+        except ConnectionRefusedError:
+            return False
+        writer.close()
+        return True
+
     GET = (
         b"GET /toy/x HTTP/1.1\r\nHost: toy.example\r\nX-Try-Id: 7\r\nX-Deadline-Ms: 900\r\n"
         b"Connection: close\r\n\r\n"
