--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -220,17 +220,12 @@
             await asyncio.sleep(TICK_S)
 
     def reread(self, anyway: bool = False) -> None:
-        """Takes in a settings file that changed; of a faulty one the fault is told, and nothing else."""
-        told = self.watched.changed(anyway)
-        if told is None:
-            return
-        if told.is_err():
-            ring(104, why=told.unwrap_err())
-            return
-        self.boot = told.unwrap()
-        for host, _ in self.boot.peers:
-            self.meet(host)
-        ring(103, peers=len(self.boot.peers))
+        """Takes in a settings file that changed."""
+        boot = self.watched.taken(anyway)
+        if boot is not None:
+            self.boot = boot
+            for host, _ in boot.peers:
+                self.meet(host)
 
     def look(self, now: float) -> None:
         if now >= self.reread_at:
--- a/pinward/exchange/vault.py
+++ b/pinward/exchange/vault.py
@@ -16,18 +16,12 @@
 from typing import Any
 from zlib import crc32
 
+from pinward.disk import sync
+
 STATE, MACHINES = "state.", "book."  # the control state; the machines known, a hint for the first seconds
 KEPT = 2  # generations left on disk: the newest, and one should it be damaged
 
 
-def sync(path: Path) -> None:
-    fd = os.open(path, os.O_RDONLY)
-    try:
-        os.fsync(fd)
-    finally:
-        os.close(fd)
-
-
 class Vault:
     """The generations in a folder. Every call may wait for the disk and raise OSError."""
 
--- a/pinward/lead/store.py
+++ b/pinward/lead/store.py
@@ -18,6 +18,7 @@
 
 import msgpack
 
+from pinward.disk import sync
 from pinward.lead.terms import Base, Entry, Kept, Members, Save, Sort
 
 HEAD = struct.Struct("<III")
@@ -81,14 +82,6 @@
     return Base(index, epoch, Members.of(members), state)
 
 
-def sync_folder(folder: Path) -> None:
-    fd = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(fd)
-    finally:
-        os.close(fd)
-
-
 def write_whole(path: Path, data: bytes) -> None:
     """Puts a file in place of another, so that after a crash one of the two is there whole."""
     fresh = path.with_suffix(path.suffix + ".new")
@@ -97,7 +90,7 @@
         file.flush()
         os.fsync(file.fileno())
     fresh.rename(path)
-    sync_folder(path.parent)
+    sync(path.parent)
 
 
 class Store:
--- a/pinward/plan/boot.py
+++ b/pinward/plan/boot.py
@@ -16,6 +16,7 @@
 from marshmallow import EXCLUDE, Schema, ValidationError, fields, validate
 from result import Err, Ok, Result
 
+from pinward.annunciator import ring
 from pinward.plan.units import Address, Span, spell
 
 Where = tuple[str, int]
@@ -181,10 +182,15 @@
             return None
         return told.st_mtime_ns, told.st_size
 
-    def changed(self, anyway: bool = False) -> Result[Boot, str] | None:
-        """What the file says now, where it changed or is to be read anyway; None where there is no news."""
+    def taken(self, anyway: bool = False) -> Boot | None:
+        """What the file says now, where it changed or is to be read anyway. A faulty one is told, no more."""
         stamp = self.look()
         if stamp is None or (stamp == self.stamp and not anyway):
             return None
         self.stamp = stamp
-        return read_boot(self.env)
+        told = read_boot(self.env)
+        if told.is_err():
+            ring(104, why=told.unwrap_err())
+            return None
+        ring(103, peers=len(told.unwrap().peers))
+        return told.unwrap()
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -91,16 +91,11 @@
         return [trial.report(self.now(), self.life) for trial in self.trials.values()]
 
     def reread(self, anyway: bool = False) -> None:
-        """Takes in a settings file that changed; of a faulty one the fault is told, and nothing else."""
-        told = self.watched.changed(anyway)
-        if told is None:
-            return
-        if told.is_err():
-            ring(104, why=told.unwrap_err())
-            return
-        self.boot = self.session.boot = told.unwrap()
-        self.session.learn_cores([host for host, _ in self.boot.peers])
-        ring(103, peers=len(self.boot.peers))
+        """Takes in a settings file that changed."""
+        boot = self.watched.taken(anyway)
+        if boot is not None:
+            self.boot = self.session.boot = boot
+            self.session.learn_cores([host for host, _ in boot.peers])
 
     async def step(self) -> None:
         while True:
--- a/tests/test_gateway_plan.py
+++ b/tests/test_gateway_plan.py
@@ -4,7 +4,9 @@
 
 import copy
 import json
+from pathlib import Path
 from random import Random
+from tempfile import TemporaryDirectory
 from typing import Any
 
 from testtools import TestCase
@@ -12,7 +14,7 @@
 
 from pinward.annunciator import EVENTS
 from pinward.exchange.calls import CALLS, checked, find
-from pinward.plan.boot import boot_of
+from pinward.plan.boot import Watched, boot_of
 from pinward.plan.schema import plan_of
 from standin.gateway_rig import plan
 
@@ -110,6 +112,21 @@
             self.assertThat(boot_of(told).unwrap_err(), Contains(path))
 
 
+    def test_a_file_that_changes_is_taken_and_a_faulty_one_is_not(self) -> None:
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "local.json"
+            path.write_text(json.dumps(self.TOLD))
+            watched = Watched({"PINWARD_BOOT": str(path)})
+            self.assertThat(watched.taken(), Is(None))
+            self.assertThat(watched.taken(anyway=True), Equals(boot_of(self.TOLD).unwrap()))
+            path.write_text("{")
+            self.assertThat(watched.taken(), Is(None))
+            path.write_text(json.dumps({**self.TOLD, "Platform": "longer than before"}))
+            self.assertThat(watched.taken(), Equals(boot_of(self.TOLD).unwrap()))
+            path.unlink()
+            self.assertThat(watched.taken(), Is(None))
+
+
 class Calls(TestCase):
     def test_the_table_finds_each_call_and_nothing_else(self) -> None:
         for call in CALLS:
