Fields and a parameter that nothing read are gone; one piece tells a call's failure

Cause: the last reading found Ending.stays_s and leaving, a parameter of Lines.best and a pass-through to spread without use, and the same failure told in two commands. Change: they are gone, asked() serves both.

--- a/pinward/command/gateway.py
+++ b/pinward/command/gateway.py
@@ -88,6 +88,15 @@
     return 0
 
 
+def asked(exchange: str, path: str) -> Any:
+    """The answer of an exchange; None where it is none, which is told."""
+    status, told = ask(exchange, path)
+    if status == 200:
+        return told
+    print(f"pinward: {exchange}: {status or 'no answer'}: {told}", file=sys.stderr)
+    return None
+
+
 def ask(exchange: str, path: str) -> tuple[int, Any]:
     try:
         with urllib.request.urlopen(f"http://{exchange}{path}", timeout=ANSWER_S) as answer:
@@ -104,9 +113,8 @@
     :param exchange: where it serves operators, host:port
     :param as_json: prints it whole, as it was put
     """
-    status, told = ask(exchange, "/cfg")
-    if status != 200:
-        print(f"pinward: {exchange}: {status or 'no answer'}: {told}", file=sys.stderr)
+    told = asked(exchange, "/cfg")
+    if told is None:
         return 1
     if as_json:
         print(json.dumps(told))
@@ -126,9 +134,8 @@
     :param service: the service's name in the configuration
     :param as_json: prints JSON
     """
-    status, told = ask(exchange, f"/rolls/{service}")
-    if status != 200:
-        print(f"pinward: {exchange}: {status or 'no answer'}: {told}", file=sys.stderr)
+    told = asked(exchange, f"/rolls/{service}")
+    if told is None:
         return 1
     print(json.dumps(told) if as_json else f"{service}: {told['Phase']}, to {told['Target']}")
     return 0
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -190,7 +190,8 @@
                 mine = self.book.seen
                 if any(s not in mine or list(mine[s]) != list(seen) for s, seen in word["vector"].items()):
                     self.send(peer, {"t": "want", "vector": mine})
-                self.tell_lines_if(peer)
+                if self.sent.get(peer, 0) < self.book.seen[self.own][1]:
+                    self.spread()
             case "want":
                 have = {source: (life, number) for source, (life, number) in word["vector"].items()}
                 lines = self.book.lacking(have)
@@ -205,10 +206,6 @@
             case _:
                 self.keeper.hear(now, peer, word)
 
-    def tell_lines_if(self, peer: str) -> None:
-        if self.book.turn and peer in self.links and self.sent.get(peer, 0) < self.book.seen[self.own][1]:
-            self.spread()
-
     # Time.
 
     async def beat(self) -> None:
--- a/pinward/switchboard/lines.py
+++ b/pinward/switchboard/lines.py
@@ -145,19 +145,19 @@
         able = [m for m in arm if m not in tried and m.open < most]
         well = [m for m in able if now >= m.aside_until and not (m.aside_s and m.open)]
         if trial:
-            return self.best(now, well[:some], 0.0) if well else None
+            return self.best(now, well[:some]) if well else None
         if not well:
             return min(able, key=lambda m: (m.open, m.aside_until)) if able else None
         near = [m for m in well if m.entry.zone == self.zone]
-        first = self.best(now, near, 0.0)
+        first = self.best(now, near)
         if first is not None and first.busy(now) < SPILL * first.entry.slots and now >= first.full_until:
             return first
-        second = self.best(now, [m for m in well if m.entry.zone != self.zone], AWAY)
+        second = self.best(now, [m for m in well if m.entry.zone != self.zone])
         if first is None or second is None:
             return first or second
         return min((first, second), key=lambda m: m.wait(now) + (AWAY if m is second else 0.0))
 
-    def best(self, now: float, some: list[Machine], _: float) -> Machine | None:
+    def best(self, now: float, some: list[Machine]) -> Machine | None:
         if len(some) > DRAWS:
             some = self.chance.sample(some, DRAWS)
         return min(some, key=lambda m: (m.wait(now), self.chance.random()), default=None)
--- a/pinward/switchboard/verdict.py
+++ b/pinward/switchboard/verdict.py
@@ -28,5 +28,3 @@
     headers: list[tuple[str, str]] = field(default_factory=list)
     body: bytes = b""
     load: tuple[int, int, int] | None = None  # running, waiting, slots
-    stays_s: float | None = None  # how long the machine keeps an idle connection, where it told
-    leaving: bool = False  # it closes its connections
--- a/pinward/switchboard/wire.py
+++ b/pinward/switchboard/wire.py
@@ -115,5 +115,4 @@
             parts.append(part)
         body = b"".join(parts)
         kept = passed_on(told)
-        leaving = "close" in told.get("Connection", "").lower()
-        return Ending(Verdict.RAN, "answer", answer.status, list(kept.items()), body, load, leaving=leaving)
+        return Ending(Verdict.RAN, "answer", answer.status, list(kept.items()), body, load)
