--- a/pinward/exchange/desk.py
+++ b/pinward/exchange/desk.py
@@ -12,7 +12,7 @@
 from aiohttp.web_ws import WebSocketResponse
 
 from pinward.exchange.parts import PLAN, ROLL, Parts
-from pinward.trunk.link import WORD_MOST, guard, say, word_of
+from pinward.trunk.link import say, taken, word_of
 
 PULL_S = 0.8  # s that a pull with nothing to tell is held
 GAP_S = 0.1  # s between two answers to one front: many changes at once are one piece of news
@@ -38,10 +38,12 @@
         return list(self.sessions)
 
     async def on_desk(self, request: BaseRequest) -> WebSocketResponse:
-        ws = WebSocketResponse(compress=False, max_msg_size=WORD_MOST, autoping=True)
-        await ws.prepare(request)
-        if request.transport is not None:
-            guard(request.transport.get_extra_info("socket"))
+        ws = await taken(request)
+        await self.attend(ws)
+        return ws
+
+    async def attend(self, ws: Any) -> None:
+        """A front's session, from its first pull to its end."""
         front, last = "", 0.0
         try:
             while True:
@@ -69,7 +71,6 @@
                 self.sessions[front] -= 1
                 if not self.sessions[front]:
                     del self.sessions[front]
-        return ws
 
     async def news(self, have: dict[str, Any], earliest: float) -> dict[str, Any]:
         """What a front lacks, as soon as there is something, or after the time that a pull is held."""
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -24,7 +24,7 @@
 from pinward.exchange.vault import MACHINES, Vault
 from pinward.plan.boot import Boot, Watched
 from pinward.trial.order import Order, Stage
-from pinward.trunk.link import DESK, LINK, WORD_MOST, Link, guard, packed, session, word_of
+from pinward.trunk.link import DESK, LINK, Dialler, Link, packed, taken, word_of
 
 DIGEST_S = 0.5  # s between two words on who was heard
 REREAD_S = 2.0  # s between looks at the settings file, which may change without a signal
@@ -34,12 +34,12 @@
 
 
 class Exchange(Parts):
-    def __init__(self, boot: Boot, vault: Vault, kept: Kept, now: float) -> None:
-        super().__init__(boot, kept, now)
+    def __init__(self, boot: Boot, vault: Vault, kept: Kept, now: float, life: str = "") -> None:
+        super().__init__(boot, kept, now, life)
         self.vault, self.hints = vault, Vault(vault.folder, MACHINES)
         self.hinted, self.hint_at = 0, now
         self.answers, self.desk = Answers(self), Desk(self, self.report)
-        self.http: Any = None
+        self.dialler: Dialler | None = None
         self.sent: dict[str, int] = {}  # own changes told to each control front
         self.disk = ThreadPoolExecutor(1)
         self.to_save: tuple[int, bytes] | None = None
@@ -83,7 +83,7 @@
             while self.to_save is not None:
                 (ticket, body), self.to_save = self.to_save, None
                 try:
-                    await asyncio.get_running_loop().run_in_executor(self.disk, self.vault.write, body)
+                    await self.on_disk(self.vault, body)
                 except OSError as why:
                     ring(205, why=why)
                     self.to_save = self.to_save or (ticket, body)
@@ -114,7 +114,7 @@
     # Links with other control fronts.
 
     def meet(self, peer: str) -> None:
-        if peer == self.own or peer in self.links or self.http is None:
+        if peer == self.own or peer in self.links or self.dialler is None:
             return
 
         def up() -> None:
@@ -128,7 +128,7 @@
             self.have.pop(peer, None)
 
         hello = {"t": "hello", "from": self.own, "life": self.life}
-        self.links[peer] = Link(self.http, (peer, self.boot.inner), hello, up, down)
+        self.links[peer] = Link(self.dialler, (peer, self.boot.inner), hello, up, down)
         self.spawn(self.links[peer].run())
 
     def tell_lines(self, peer: str, lines: list[list[Any]]) -> None:
@@ -154,15 +154,14 @@
         return await handler(request) if handler is not None else Response(status=404)
 
     async def on_link(self, request: BaseRequest) -> WebSocketResponse:
-        ws = WebSocketResponse(compress=False, max_msg_size=WORD_MOST, autoping=True)
-        await ws.prepare(request)
-        if request.transport is not None:
-            guard(request.transport.get_extra_info("socket"))
+        ws = await taken(request)
+        await self.attend(ws)
+        return ws
+
+    async def attend(self, ws: Any) -> None:
+        """Another control front's words, until its connection ends."""
         peer = ""
-        async for message in ws:
-            word = word_of(message)
-            if word is None:
-                break
+        while (word := word_of(await ws.receive())) is not None:
             if word["t"] == "hello":
                 peer = word["from"]
                 self.meet(peer)
@@ -171,7 +170,6 @@
             elif peer:
                 self.hear(peer, word)
             self.carry()
-        return ws
 
     def hear(self, peer: str, word: dict[str, Any]) -> None:
         now = self.now()
@@ -247,9 +245,11 @@
         """Keeps the machines known on disk: after a loss of power calls go through before all have beaten."""
         lines = [line.entry.plain() for line in self.book.lines.values()]
         with contextlib.suppress(OSError):
-            await asyncio.get_running_loop().run_in_executor(
-                self.disk, self.hints.write, packed({"lines": lines}).encode()
-            )
+            await self.on_disk(self.hints, packed({"lines": lines}).encode())
+
+    async def on_disk(self, vault: Vault, body: bytes) -> None:
+        """A new generation, written beside all else: a disk that hangs stops no beat. Raises OSError."""
+        await asyncio.get_running_loop().run_in_executor(self.disk, vault.write, body)
 
     def digest(self, now: float, since: float) -> None:
         fronts = self.desk.age(now)
@@ -289,19 +289,13 @@
     # Life.
 
     async def run(self, stop: asyncio.Event) -> None:
-        self.http = session()
-        with contextlib.suppress(OSError, ValueError):
-            self.book.restore(self.now(), (self.hints.read() or {"lines": []})["lines"])
-            self.hinted = self.book.turn
         loop = asyncio.get_running_loop()
         inner = Server(self.on_inner, access_log=None)
         await loop.create_server(inner, self.own, self.boot.inner, backlog=1024)
         server = Server(self.answers.on_call, access_log=None)
         host, port = self.boot.bind["Ctl"]
         listener = await loop.create_server(server, host, port, backlog=1024)
-        for peer in (*self.keeper.peers, *(host for host, _ in self.boot.peers)):
-            self.meet(peer)
-        self.spawn(self.beat())
+        self.begin(Dialler())
         ring(100, ctl=f"{host}:{port}", inner=self.boot.inner, epoch=self.keeper.kept.promised)
         await stop.wait()
         ring(101)
@@ -313,7 +307,18 @@
         await server.shutdown(STOP_S)
         for task in self.tasks:
             task.cancel()
-        await self.http.close()
+        if self.dialler is not None:
+            await self.dialler.close()
+
+    def begin(self, dialler: Dialler) -> None:
+        """At work from here on: links are opened, time is looked at."""
+        self.dialler = dialler
+        with contextlib.suppress(OSError, ValueError):
+            self.book.restore(self.now(), (self.hints.read() or {"lines": []})["lines"])
+            self.hinted = self.book.turn
+        for peer in (*self.keeper.peers, *(host for host, _ in self.boot.peers)):
+            self.meet(peer)
+        self.spawn(self.beat())
 
 
 def open_vault(boot: Boot) -> tuple[Vault, Kept]:
--- a/pinward/exchange/parts.py
+++ b/pinward/exchange/parts.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import time
 from abc import ABC, abstractmethod
 from typing import Any
 
@@ -22,8 +21,8 @@
 class Parts(ABC):
     """State machines of one control front, and the links to the others. `host.Exchange` has them at work."""
 
-    def __init__(self, boot: Boot, kept: Kept, now: float) -> None:
-        self.boot, self.own, self.life = boot, boot.ip, os.urandom(6).hex()
+    def __init__(self, boot: Boot, kept: Kept, now: float, life: str = "") -> None:
+        self.boot, self.own, self.life = boot, boot.ip, life or os.urandom(6).hex()
         self.keeper = Keeper(self.own, kept, boot.lost_most, self.life, now)
         self.book = Book(self.own, self.life, boot.beat_s)
         self.tally = Tally(boot.bounds)
@@ -35,7 +34,7 @@
 
     @staticmethod
     def now() -> float:
-        return time.monotonic()
+        return asyncio.get_running_loop().time()
 
     def turn(self) -> None:
         self.turned.set()
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -24,6 +24,7 @@
 from pinward.tally.tries import Tries
 from pinward.trial.front import Trial
 from pinward.trial.order import Stage
+from pinward.trunk.link import Dialler
 from pinward.trunk.session import Known, Session
 
 STEP_S = 0.1  # s between looks at what time changes
@@ -41,8 +42,8 @@
 
 
 class Switchboard:
-    def __init__(self, boot: Boot) -> None:
-        self.boot, self.life = boot, os.urandom(6).hex()
+    def __init__(self, boot: Boot, life: str = "") -> None:
+        self.boot, self.life = boot, life or os.urandom(6).hex()
         self.chance = Random(self.life)
         self.known = Known(boot, self.life)
         self.lines = Lines(boot.zone, self.life)
@@ -252,14 +253,21 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop`, then ends within the grace: what was read is finished first."""
-        self.wire, self.began = Wire(), self.now()
-        tasks = [asyncio.ensure_future(self.session.run()), asyncio.ensure_future(self.step())]
+        dialler = Dialler()
+        tasks = self.begin(Wire(), dialler)
         try:
             await self.listen(stop)
         finally:
             for task in tasks:
                 task.cancel()
-            await self.wire.close()
+            if self.wire is not None:
+                await self.wire.close()
+            await dialler.close()
+
+    def begin(self, wire: Wire, dialler: Dialler) -> list[asyncio.Task[None]]:
+        """At work from here on: the session is sought, time is looked at."""
+        self.wire, self.began = wire, self.now()
+        return [asyncio.ensure_future(self.session.run(dialler)), asyncio.ensure_future(self.step())]
 
     async def listen(self, stop: asyncio.Event) -> None:
         loop = asyncio.get_running_loop()
--- a/pinward/trunk/link.py
+++ b/pinward/trunk/link.py
@@ -15,6 +15,8 @@
 from typing import Any
 
 import aiohttp
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_ws import WebSocketResponse
 
 SILENT_S = 1.2  # s without a sign of TCP from a peer until the connection ends: several round trips and beats
 CONNECT_S = 0.3  # s for a connection to come up
@@ -33,19 +35,43 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(SILENT_S * 1000))
 
 
-def session() -> aiohttp.ClientSession:
-    """A client session for links: no cookies, no proxies, no redirects followed by itself."""
-    return aiohttp.ClientSession(
-        cookie_jar=aiohttp.DummyCookieJar(), trust_env=False, timeout=aiohttp.ClientTimeout(total=None),
-        connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False),
-    )  # fmt: skip
+class Dialler:
+    """Opens websockets to control fronts. The emulator has one of its own."""
 
+    def __init__(self) -> None:
+        # No cookies, no proxies, no redirects followed by itself.
+        self.http = aiohttp.ClientSession(
+            cookie_jar=aiohttp.DummyCookieJar(), trust_env=False, timeout=aiohttp.ClientTimeout(total=None),
+            connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False),
+        )  # fmt: skip
 
-def abort(ws: aiohttp.ClientWebSocketResponse) -> None:
-    """Ends a connection at once: its peer may be silent."""
-    connection = ws._response.connection
-    if connection is not None and connection.transport is not None:
-        connection.transport.abort()
+    async def dial(self, where: tuple[str, int], path: str) -> Any:
+        """A websocket to a control front's inner port. Raises OSError, ClientError, TimeoutError."""
+        host, port = where
+        async with asyncio.timeout(CONNECT_S):
+            ws = await self.http.ws_connect(
+                f"http://{host}:{port}{path}", autoping=True, compress=0, max_msg_size=WORD_MOST
+            )
+        guard(ws.get_extra_info("socket"))
+        return ws
+
+    def abort(self, ws: Any) -> None:
+        """Ends a connection at once: its peer may be silent."""
+        connection = ws._response.connection
+        if connection is not None and connection.transport is not None:
+            connection.transport.abort()
+
+    async def close(self) -> None:
+        await self.http.close()
+
+
+async def taken(request: BaseRequest) -> WebSocketResponse:
+    """The websocket that a request asks for."""
+    ws = WebSocketResponse(compress=False, max_msg_size=WORD_MOST, autoping=True)
+    await ws.prepare(request)
+    if request.transport is not None:
+        guard(request.transport.get_extra_info("socket"))
+    return ws
 
 
 def packed(word: dict[str, Any]) -> str:
@@ -85,10 +111,10 @@
     """The words of this process to one peer, over a connection of its own that is opened anew for ever."""
 
     def __init__(
-        self, http: aiohttp.ClientSession, where: tuple[str, int], hello: dict[str, Any],
+        self, dialler: Dialler, where: tuple[str, int], hello: dict[str, Any],
         up: Callable[[], None], down: Callable[[], None],
     ) -> None:  # fmt: skip
-        self.http, self.where, self.hello, self.on_up, self.on_down = http, where, hello, up, down
+        self.dialler, self.where, self.hello, self.on_up, self.on_down = dialler, where, hello, up, down
         self.words: asyncio.Queue[dict[str, Any]] = asyncio.Queue(WORDS_MOST)
         self.stands = False
         self.chance = Random(str(where))
@@ -124,13 +150,8 @@
             await asyncio.sleep(self.chance.uniform(*AGAIN_S))
 
     async def connected(self) -> None:
-        host, port = self.where
-        async with asyncio.timeout(CONNECT_S):
-            ws = await self.http.ws_connect(
-                f"http://{host}:{port}{LINK}", autoping=True, compress=0, max_msg_size=WORD_MOST
-            )
+        ws = await self.dialler.dial(self.where, LINK)
         try:
-            guard(ws.get_extra_info("socket"))
             await say(ws, self.hello)
             while not self.words.empty():
                 self.words.get_nowait()
@@ -152,4 +173,4 @@
             if self.stands:
                 self.stands = False
                 self.on_down()
-            abort(ws)
+            self.dialler.abort(ws)
--- a/pinward/trunk/session.py
+++ b/pinward/trunk/session.py
@@ -19,7 +19,7 @@
 from pinward.plan.boot import Boot
 from pinward.plan.routes import Plan, plan_read
 from pinward.trial.order import Order, Stage
-from pinward.trunk.link import CONNECT_S, DESK, WORD_MOST, abort, guard, say, session, word_of
+from pinward.trunk.link import DESK, Dialler, say, word_of
 
 NEWS_S = 1.5  # s for an answer to a pull, which is held less than one
 AGAIN_S = (0.05, 0.25)  # s until another control front is tried, drawn
@@ -96,26 +96,21 @@
     def learn_cores(self, cores: list[str]) -> None:
         self.cores += [core for core in cores if core not in self.cores]
 
-    async def run(self) -> None:
-        async with session() as http:
-            while True:
-                core = self.cores[self.at % len(self.cores)]
-                try:
-                    await self.once(http, core)
-                except (OSError, aiohttp.ClientError, TimeoutError, ValueError) as why:
-                    if self.stands:
-                        ring(301, core=core, why=type(why).__name__)
-                self.stands = False
-                self.at += 1
-                await asyncio.sleep(self.chance.uniform(*AGAIN_S))
-
-    async def once(self, http: aiohttp.ClientSession, core: str) -> None:
-        async with asyncio.timeout(CONNECT_S):
-            ws = await http.ws_connect(
-                f"http://{core}:{self.boot.inner}{DESK}", autoping=True, compress=0, max_msg_size=WORD_MOST
-            )
+    async def run(self, dialler: Dialler) -> None:
+        while True:
+            core = self.cores[self.at % len(self.cores)]
+            try:
+                await self.once(dialler, core)
+            except (OSError, aiohttp.ClientError, TimeoutError, ValueError) as why:
+                if self.stands:
+                    ring(301, core=core, why=type(why).__name__)
+            self.stands = False
+            self.at += 1
+            await asyncio.sleep(self.chance.uniform(*AGAIN_S))
+
+    async def once(self, dialler: Dialler, core: str) -> None:
+        ws = await dialler.dial((core, self.boot.inner), DESK)
         try:
-            guard(ws.get_extra_info("socket"))
             fresh_at = asyncio.get_running_loop().time()
             while True:
                 pull = {
@@ -139,4 +134,4 @@
                 if now - fresh_at > OLD_S and len(self.cores) > 1:
                     raise ConnectionResetError("the control front has no primary")
         finally:
-            abort(ws)
+            dialler.abort(ws)
--- /dev/null
+++ b/standin/virtual.py
@@ -0,0 +1,230 @@
+"""Simulated time for asyncio, and a network of processes in it that fails on purpose.
+
+A loop whose clock jumps to the next timer: the gateway's own hosts run on it unchanged, with `Net` where
+their websockets would be. Each pair of machines draws from a Random of its own, so that one seed gives one
+run whatever the order in which sets are gone through.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from collections import deque
+from collections.abc import Awaitable, Callable, Coroutine
+from contextvars import ContextVar
+from random import Random
+from typing import Any
+
+import aiohttp
+
+from pinward.trunk.link import CONNECT_S, SILENT_S, Dialler
+
+OWNER: ContextVar[Process | None] = ContextVar("owner", default=None)
+
+
+class StuckError(Exception):
+    """Nothing is to happen any more."""
+
+
+class Jumps(selectors.SelectSelector):
+    """Waits for nothing: the clock goes on by as much as would be waited."""
+
+    loop: Loop
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        if timeout is None:
+            raise StuckError
+        self.loop.at += max(0.0, timeout)
+        return []
+
+
+class Loop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        self.at = 0.0
+        selector = Jumps()
+        selector.loop = self
+        super().__init__(selector)
+        self.set_task_factory(owned)
+
+    def time(self) -> float:
+        return self.at
+
+
+def owned(loop: asyncio.AbstractEventLoop, work: Any, **more: Any) -> asyncio.Task[Any]:
+    """Each task belongs to the process in which it began, and ends with it."""
+    task: asyncio.Task[Any] = asyncio.Task(work, loop=loop, **more)
+    owner = OWNER.get()
+    if owner is not None:
+        owner.tasks.add(task)
+        task.add_done_callback(owner.tasks.discard)
+    return task
+
+
+def played(work: Coroutine[Any, Any, Any]) -> Any:
+    """Runs `work` in simulated time."""
+    loop = Loop()
+    try:
+        asyncio.set_event_loop(loop)
+        return loop.run_until_complete(work)
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+class Process:
+    """What runs at one address: its tasks, and who takes websockets there by path."""
+
+    def __init__(self, net: Net, ip: str) -> None:
+        self.net, self.ip, self.alive = net, ip, True
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.attend: dict[str, Callable[[Any], Awaitable[None]]] = {}
+        net.processes[ip] = self
+
+    def run(self, what: Callable[[], Any]) -> Any:
+        """Calls `what` so that all tasks it begins belong to this process."""
+        token = OWNER.set(self)
+        try:
+            return what()
+        finally:
+            OWNER.reset(token)
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task: asyncio.Task[Any] = self.run(lambda: asyncio.ensure_future(work))
+        return task
+
+    def kill(self, power: bool = False) -> None:
+        """Ends the process: peers see their connections reset, or nothing where the power is gone too."""
+        self.alive = False
+        if self.net.processes.get(self.ip) is self:
+            del self.net.processes[self.ip]
+        if power:
+            self.net.dark.add(self.ip)
+        for end in [e for e in self.net.ends if e.process is self]:
+            end.die(tell=not power)
+        for task in list(self.tasks):
+            task.cancel()
+
+
+class Net:
+    def __init__(self, seed: int, delay_s: Callable[[str, str], float]) -> None:
+        self.seed, self.delay_s = seed, delay_s
+        self.chances: dict[tuple[str, str], Random] = {}
+        self.processes: dict[str, Process] = {}
+        self.dark: set[str] = set()  # machines without power
+        self.cuts: set[tuple[str, str]] = set()  # one way each
+        self.ends: set[End] = set()
+        self.told_bytes: dict[str, int] = {}  # sent on websockets, by sender
+
+    def chance(self, a: str, b: str) -> Random:
+        return self.chances.setdefault((a, b), Random(f"{self.seed}.{a}.{b}"))
+
+    def way_s(self, a: str, b: str) -> float:
+        return self.delay_s(a, b) * self.chance(a, b).uniform(1.0, 1.3)
+
+    def reaches(self, a: str, b: str) -> bool:
+        return (a, b) not in self.cuts and (b, a) not in self.cuts and b not in self.dark
+
+    def cut(self, some: set[str], others: set[str], one_way: bool = False) -> set[tuple[str, str]]:
+        ways = {(a, b) for a in some for b in others if a != b}
+        ways |= set() if one_way else {(b, a) for a, b in ways}
+        self.cuts |= ways
+        return ways
+
+    def join(self, ways: set[tuple[str, str]]) -> None:
+        self.cuts -= ways
+        for end in list(self.ends):
+            end.flush()
+
+
+class End:
+    """One end of a websocket, as aiohttp's are used: `send_str`, `send_bytes`, `receive`."""
+
+    def __init__(self, net: Net, process: Process, own: str, peer: str) -> None:
+        self.net, self.process, self.own, self.peer = net, process, own, peer
+        self.other: End | None = None
+        self.come: asyncio.Queue[aiohttp.WSMessage] = asyncio.Queue()
+        self.held: deque[aiohttp.WSMessage] = deque()  # sent, not there yet: a cut holds them up
+        self.arrives = 0.0
+        self.closed = False
+        net.ends.add(self)
+
+    async def send_str(self, text: str) -> None:
+        self.send(aiohttp.WSMessage(aiohttp.WSMsgType.TEXT, text, None), len(text))
+
+    async def send_bytes(self, data: bytes) -> None:
+        self.send(aiohttp.WSMessage(aiohttp.WSMsgType.BINARY, data, None), len(data))
+
+    async def receive(self) -> aiohttp.WSMessage:
+        return await self.come.get()
+
+    def send(self, message: aiohttp.WSMessage, size: int) -> None:
+        if self.closed:
+            raise ConnectionResetError("the connection is closed")
+        self.net.told_bytes[self.own] = self.net.told_bytes.get(self.own, 0) + size
+        self.held.append(message)
+        if len(self.held) == 1 and not self.net.reaches(self.own, self.peer):
+            asyncio.get_running_loop().call_later(SILENT_S, self.given_up, message)
+        self.flush()
+
+    def given_up(self, message: aiohttp.WSMessage) -> None:
+        """TCP had no sign of the peer for too long."""
+        if self.held and self.held[0] is message:
+            self.die(tell=False)
+
+    def flush(self) -> None:
+        loop = asyncio.get_running_loop()
+        while self.held and not self.closed and self.net.reaches(self.own, self.peer):
+            message = self.held.popleft()
+            self.arrives = max(self.arrives, loop.time() + self.net.way_s(self.own, self.peer))
+            loop.call_at(self.arrives, self.arrive, message)
+
+    def arrive(self, message: aiohttp.WSMessage) -> None:
+        if self.other is not None and not self.other.closed:
+            self.other.come.put_nowait(message)
+
+    def die(self, tell: bool) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self.net.ends.discard(self)
+        self.come.put_nowait(aiohttp.WSMessage(aiohttp.WSMsgType.CLOSED, None, None))
+        other = self.other
+        if tell and other is not None and self.net.reaches(self.own, self.peer):
+            asyncio.get_running_loop().call_later(self.net.way_s(self.own, self.peer), other.die, False)
+
+
+class Dial(Dialler):
+    """The dialler of one process."""
+
+    def __init__(self, net: Net, process: Process) -> None:
+        self.net, self.process = net, process
+
+    async def dial(self, where: tuple[str, int], path: str) -> Any:
+        own, peer = self.process.ip, where[0]
+        if not self.net.reaches(own, peer):
+            await asyncio.sleep(CONNECT_S)
+            raise TimeoutError
+        await asyncio.sleep(2 * self.net.way_s(own, peer))
+        other = self.net.processes.get(peer)
+        if other is None or path not in other.attend:
+            raise ConnectionRefusedError
+        mine, theirs = End(self.net, self.process, own, peer), End(self.net, other, peer, own)
+        mine.other, theirs.other = theirs, mine
+
+        async def attend() -> None:
+            try:
+                await other.attend[path](theirs)
+            finally:
+                theirs.die(tell=True)
+
+        other.spawn(attend())
+        return mine
+
+    def abort(self, ws: Any) -> None:
+        ws.die(tell=True)
+
+    async def close(self) -> None:
+        pass
