Requests sent ahead on a connection are put through at once, answered in their order

Cause: aiohttp handles a connection's requests one after another, so each pipelined request waited for the whole time of those before it. Change: those without a body are begun as they are read (switchboard/ahead.py), eight a connection at most; an answer says close only where none behind it was begun.

--- /dev/null
+++ b/pinward/switchboard/ahead.py
@@ -0,0 +1,94 @@
+"""Requests that a client sends before the first is answered: put through at once, answered in their order.
+
+aiohttp handles a connection's requests one after another, so one slow answer holds up all behind it, and
+what was not put through in time is late. Here those without a body that are read behind another are begun as
+they are read; aiohttp, which comes to them in turn, finds the answer begun.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from aiohttp.http_parser import RawRequestMessage
+from aiohttp.http_writer import StreamWriter
+from aiohttp.streams import EMPTY_PAYLOAD
+from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response
+from aiohttp.web_server import Server
+
+AHEAD_MOST = 8  # requests of one connection that are put through at a time, the first not counted
+METHODS = ("GET", "HEAD")  # what has no body, and may be sent ahead by the protocol's rules
+
+Answering = Callable[[BaseRequest], Coroutine[Any, Any, Response]]
+
+
+class Line(RequestHandler):
+    """One client's connection."""
+
+    __slots__ = ("begun",)
+
+    def __init__(self, manager: Server, **more: Any) -> None:
+        super().__init__(manager, **more)
+        self.begun: dict[int, asyncio.Task[Response]] = {}  # by the message's identity
+
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        if not self._messages or (self._current_request is None and len(self._messages) == 1):
+            return
+        server = self._manager
+        if isinstance(server, LineServer) and not self._force_close and not self._close:
+            self.begin(server)
+
+    def begin(self, server: LineServer) -> None:
+        """Begins what waits behind another request, up to the first that is not to be begun."""
+        skip = self._current_request is None  # aiohttp is about to take the first itself
+        for message, payload in self._messages:
+            if skip:
+                skip = False
+                continue
+            if id(message) in self.begun:
+                continue
+            if not isinstance(message, RawRequestMessage) or message.should_close:
+                return
+            if message.method not in METHODS or payload is not EMPTY_PAYLOAD:
+                return
+            if len(self.begun) >= AHEAD_MOST or self._task_handler is None or not server.may():
+                return
+            writer = StreamWriter(self, self._loop)
+            request = BaseRequest(message, payload, self, writer, self._task_handler, self._loop)
+            self.begun[id(message)] = self._loop.create_task(server.answer(request))
+
+    def taken(self, request: BaseRequest) -> asyncio.Task[Response] | None:
+        """The answer of a request that was begun as it was read."""
+        return self.begun.pop(id(request._message), None)
+
+
+class LineServer(Server):
+    """aiohttp's server with such connections. `may` says whether more may be begun ahead."""
+
+    def __init__(self, answer: Answering, may: Callable[[], bool], **more: Any) -> None:
+        super().__init__(self.in_turn, **more)
+        self.answer, self.may = answer, may
+
+    def __call__(self) -> RequestHandler:
+        return Line(self, loop=self._loop, **self._kwargs)
+
+    async def in_turn(self, request: BaseRequest) -> Response:
+        """The answer to the request whose turn it is; one that ends the connection says so
+        only where no answer behind it was begun.
+        """
+        line = request.protocol
+        begun = line.taken(request) if isinstance(line, Line) else None
+        response = await (begun if begun is not None else self.answer(request))
+        if not self.may() and not waiting(request):
+            response.force_close()
+        return response
+
+
+def waiting(request: BaseRequest) -> bool:
+    """True where requests behind this one are put through already: its answer must not say close."""
+    line = request.protocol
+    return isinstance(line, Line) and bool(line.begun)
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -17,7 +17,8 @@
 
 from pinward.annunciator import ring
 from pinward.plan.boot import Boot, Watched
-from pinward.switchboard.call import Call, Reply, Send
+from pinward.switchboard.ahead import LineServer
+from pinward.switchboard.call import Call, Reply, Send, Wait
 from pinward.switchboard.lines import Lines
 from pinward.switchboard.verdict import Ending
 from pinward.switchboard.wire import DEADLINE, NOT_RUN, WANT, Wire, passed_on
@@ -56,7 +57,7 @@
         self.open = 0
         self.began = self.reread_at = 0.0
         self.watched = Watched()
-        self.server: Server | None = None
+        self.server: LineServer | None = None
         self.waits: dict[Any, float] = {}  # clients' connections with no request, and since when
 
     @staticmethod
@@ -144,11 +145,12 @@
         response = Response(status=status)
         if back_s is not None:
             response.headers["Retry-After"] = f"{back_s:.2f}"
-        return self.closing(response)
+        return response
 
-    def closing(self, response: Response) -> Response:
-        if self.leaving:
-            response.force_close()
+    def last(self, status: int) -> Response:
+        """An answer after which nothing more is read."""
+        response = self.own(status)
+        response.force_close()
         return response
 
     async def on_request(self, request: BaseRequest) -> Response:
@@ -172,9 +174,7 @@
         if not raw.startswith("/") or "#" in raw:
             return self.own(400)
         if "Transfer-Encoding" in headers and "Content-Length" in headers:
-            response = self.own(400)
-            response.force_close()
-            return response
+            return self.last(400)
         route = plan.route(headers.get("Host", ""), raw.partition("?")[0])
         if route is None:
             return self.own(404)
@@ -187,9 +187,7 @@
         if request.body_exists:
             size = request.content_length or 0
             if size > plan.body_bytes:
-                response = self.own(413)
-                response.force_close()
-                return response
+                return self.last(413)
             body, streams = await self.body(request)
         call = Call(route, route.service(self.chance), now, allow_s)
         call.streams = streams
@@ -247,7 +245,7 @@
         if reply.ending is None:
             return self.own(reply.status, reply.back_s)
         headers = CIMultiDict((key, value) for key, value in reply.ending.headers if key != NOT_RUN)
-        return self.closing(Response(status=reply.status, body=reply.ending.body, headers=headers))
+        return Response(status=reply.status, body=reply.ending.body, headers=headers)
 
     # Life.
 
@@ -271,7 +269,7 @@
 
     async def listen(self, stop: asyncio.Event) -> None:
         loop = asyncio.get_running_loop()
-        server = self.server = Server(
+        server = self.server = LineServer(
             self.on_request,
             access_log=None,
             max_line_size=HEAD_MOST,
@@ -303,6 +301,7 @@
         """Tells the platform first; takes new clients until it has surely heard; then finishes the rest."""
         ring(101, open=self.open)
         self.leaving = True
+            lambda: not self.leaving,
         self.look(self.now())
         end = self.now() + self.boot.bounds.grace_s
         await asyncio.sleep(max(0.0, end - LAST_S - self.now()))
