A request that may run again is sent to a second machine beside one long silent

Cause: a request at a machine that fell silent waited for its deadline; nothing else tells of such a machine. Change: after 2.2 times the expected time a second machine with a free slot is asked, within half the budget; the first goes on and whichever answers first counts. Tests on the state machine.

--- a/pinward/switchboard/call.py
+++ b/pinward/switchboard/call.py
@@ -1,7 +1,9 @@
 """The life of one client's request, from its reading to its final answer: a state machine without I/O.
 
-`Call.next` says what to do: send to a machine, or answer. A request goes to another machine only where it may
-run again or has provably not run, within its route's tries, the budget and the time left.
+`Call.next` says what to do: send to a machine, answer, or wait. A request goes to another machine only where
+it may run again or has provably not run, within its route's tries, the budget and the time left. One that
+may run again is also sent to a second machine beside a first that is long silent; the first goes on, and
+whichever answers first counts.
 """
 
 from __future__ import annotations
@@ -19,25 +21,36 @@
 AGAIN_PART = 0.5  # of the service's usual time that must be left for a further try to be of use
 BACK_S = (0.1, 0.3)  # s after which a client is told to come back, drawn: they come spread
 ADMIT, ADMIT_RANK, ADMIT_LEAST = 1.0, 0.05, 0.6  # of the goal: expected time at most; less for each rank
+BESIDE = 2.2  # times the expected time until a second machine is asked beside: one in fifty takes longer
+BESIDE_PART = 0.5  # of the budget: the rest is for requests whose send ended in vain
+NEAR_S = 0.001  # s that count as none: a wait so short would be a busy one
 LEAST_S = 0.004  # s below which nothing is sent any more: a machine would be asked in vain
 
 
 class State(Enum):
-    TAKEN = auto()
-    SENT = auto()
+    TAKEN = auto()  # nothing is under way
+    SENT = auto()  # one or two sends are
     ENDED = auto()
 
 
-MOVES = {State.TAKEN: (State.SENT, State.ENDED), State.SENT: (State.TAKEN,)}
+MOVES = {State.TAKEN: (State.SENT, State.ENDED), State.SENT: (State.SENT, State.TAKEN)}
 
 
-@dataclass
+@dataclass(eq=False)
 class Send:
     """Send to this machine now; `allow_s` is what is left of the client's time."""
 
     machine: Machine
     allow_s: float
     trial: bool
+    at: float
+
+
+@dataclass
+class Wait:
+    """Wait for a send to end, so long at most (for ever where `inf`); then ask again."""
+
+    most_s: float
 
 
 @dataclass
@@ -58,8 +71,7 @@
         self.last: Ending | None = None
         self.ran = False  # a send of it may have run
         self.streams = False  # its body is gone once it was sent
-        self.sending: Send | None = None
-        self.sent_at = -inf
+        self.sending: list[Send] = []
 
     def move(self, state: State) -> None:
         """The one place where a call changes its state."""
@@ -67,9 +79,11 @@
             raise ValueError(f"a call cannot go from {self.state.name} to {state.name}")
         self.state = state
 
-    def next(self, now: float, lines: Lines, tries: Tries, trial: Trial | None) -> Send | Reply:
+    def next(self, now: float, lines: Lines, tries: Tries, trial: Trial | None) -> Send | Reply | Wait:
         """What to do now."""
         left = self.until - now
+        if self.state is State.SENT:
+            return self.beside(now, lines, tries, trial)
         if self.tried and not self.again(now, lines, tries):
             return self.reply(lines)
         if left < LEAST_S:
@@ -90,6 +104,11 @@
         if not self.tried and not new and self.hopeless(now, lines, machine):
             self.move(State.ENDED)
             return Reply(503, back_s=lines.chance.uniform(*BACK_S))
+        return self.send(now, lines, tries, trial, machine, new)
+
+    def send(
+        self, now: float, lines: Lines, tries: Tries, trial: Trial | None, machine: Machine, new: bool
+    ) -> Send:  # fmt: skip
         if trial is not None:
             trial.sends(new)
         if self.tried:
@@ -97,8 +116,29 @@
         self.tried.append(machine)
         lines.begin(machine)
         self.move(State.SENT)
-        self.sending, self.sent_at = Send(machine, left, new), now
-        return self.sending
+        self.sending.append(Send(machine, self.until - now, new, now))
+        return self.sending[-1]
+
+    def beside(self, now: float, lines: Lines, tries: Tries, trial: Trial | None) -> Send | Wait:
+        """Whether a second machine is asked while the first is silent.
+
+        Guards against machines that are gone or very slow: nothing else tells of them before the deadline.
+        Harm: work done twice, within half of the budget, and only on machines with a free slot.
+        """
+        first, service = self.sending[0], lines.services.get(self.service)
+        may = self.route.repeatable and not self.streams and len(self.sending) == 1 and service is not None
+        if not may or service is None or len(self.tried) >= self.route.tries:
+            return Wait(inf)
+        late_s = first.at + BESIDE * max(service.usual_s, lines.expected(now, first.machine)) - now
+        if self.until - now - max(0.0, late_s) < AGAIN_PART * service.usual_s:
+            return Wait(inf)
+        if late_s > NEAR_S:
+            return Wait(late_s)
+        machine = lines.pick(now, self.service, self.tried)
+        free = machine is not None and machine.busy(now) < machine.entry.slots
+        if machine is None or not free or not tries.may(now, lines.fronts, BESIDE_PART):
+            return Wait(inf)
+        return self.send(now, lines, tries, trial, machine, False)
 
     def hopeless(self, now: float, lines: Lines, machine: Machine) -> bool:
         # Guards against queues of late work: the best machine found is full and would answer after the goal.
@@ -121,19 +161,22 @@
         useful = service is not None and self.until - now > AGAIN_PART * service.usual_s
         return useful and tries.may(now, lines.fronts)
 
-    def ended(self, now: float, lines: Lines, ending: Ending, trial: Trial | None) -> None:
-        """The send ended."""
-        sending = self.sending
-        assert sending is not None
-        took = now - self.sent_at
+    def ended(self, now: float, lines: Lines, sending: Send, ending: Ending, trial: Trial | None) -> None:
+        """A send ended, perhaps after the answer was given: then only what it tells of its machine counts."""
+        took = now - sending.at
+        self.sending.remove(sending)
         lines.end(now, sending.machine, ending, took)
         self.ran = self.ran or ending.verdict not in NEVER_RAN
         if trial is not None and ending.verdict is Verdict.RAN:
             cold = now < sending.machine.warm_at
             goal_s = self.route.goal_s or self.route.timeout_s
             trial.ended(now, sending.trial, self.route.name, ending.status >= 500, took, goal_s, cold)
-        self.last, self.sending = ending, None
-        self.move(State.TAKEN)
+        if self.state is State.ENDED:
+            return
+        whole = ending.verdict is Verdict.RAN and ending.status < 500
+        self.last = ending
+        if whole or not self.sending:
+            self.move(State.TAKEN)
 
     def reply(self, lines: Lines) -> Reply:
         """The answer where nothing more is sent."""
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -6,7 +6,8 @@
 
 import asyncio
 import os
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
+from math import inf
 from random import Random
 from typing import Any
 
@@ -20,7 +21,7 @@
 from pinward.switchboard.ahead import LineServer
 from pinward.switchboard.call import Call, Reply, Send, Wait
 from pinward.switchboard.lines import Lines
-from pinward.switchboard.verdict import Ending
+from pinward.switchboard.verdict import Ending, Verdict
 from pinward.switchboard.wire import DEADLINE, NOT_RUN, WANT, Wire, passed_on
 from pinward.tally.tries import Tries
 from pinward.trial.front import Trial
@@ -55,6 +56,7 @@
         self.ready = self.leaving = False
         self.known_once = asyncio.Event()
         self.open = 0
+        self.sends: set[asyncio.Task[None]] = set()
         self.began = self.reread_at = 0.0
         self.watched = Watched()
         self.server: LineServer | None = None
@@ -222,24 +224,52 @@
         if call.streams and request.content_length is not None:
             headers["Content-Length"] = str(request.content_length)
         headers.popall("Expect", None)
+        sends: set[asyncio.Task[None]] = set()
         while True:
             now, trial = self.now(), self.trials.get(name)
             step = call.next(now, self.lines, tries, trial)
             if isinstance(step, Reply):
                 return self.answer(request, step)
-            ending = await self.send(request, headers, step, body)
-            call.ended(self.now(), self.lines, ending, trial)
-            if ending.what in ("another's", "spoilt", "cut"):
-                ring(310, iid=step.machine.entry.iid, what=ending.what)
+            if isinstance(step, Wait):
+                most_s = step.most_s if step.most_s != inf else None
+                await asyncio.wait(sends, timeout=most_s, return_when=asyncio.FIRST_COMPLETED)
+                sends = {task for task in sends if not task.done()}
+                continue
+            work = self.send(request, headers.copy(), step, body, call, trial)
+            if call.route.repeatable:
+                sends.add(self.spawn(work))
+            else:
+                await work
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Work that may outlast the request it belongs to."""
+        task = asyncio.ensure_future(work)
+        self.sends.add(task)
+        task.add_done_callback(self.ended)
+        return task
+
+    def ended(self, task: asyncio.Task[None]) -> None:
+        self.sends.discard(task)
+        if not task.cancelled() and (why := task.exception()) is not None:
+            ring(110, why=repr(why))
 
-    async def send(self, request: BaseRequest, headers: Any, step: Send, body: Any) -> Ending:
+    async def send(
+        self, request: BaseRequest, headers: Any, step: Send, body: Any, call: Call, trial: Trial | None
+    ) -> None:  # fmt: skip
+        """One send, from its beginning to what it tells of its machine."""
         entry = step.machine.entry
         headers[DEADLINE] = str(max(1, int(step.allow_s * 1000)))
         headers[WANT] = entry.iid
         url = f"http://{entry.where[0]}:{entry.where[1]}{request.raw_path}"
         fresh = self.now() < step.machine.shaky_until and request.method not in ("GET", "HEAD")
         assert self.wire is not None
-        return await self.wire.send(request.method, url, headers, body, step.allow_s, fresh)
+        ending = Ending(Verdict.MAY_HAVE_RUN, "ended with its front")
+        try:
+            ending = await self.wire.send(request.method, url, headers, body, step.allow_s, fresh)
+        finally:
+            call.ended(self.now(), self.lines, step, ending, trial)
+        if ending.what in ("another's", "spoilt", "cut"):
+            ring(310, iid=entry.iid, what=ending.what)
 
     def answer(self, request: BaseRequest, reply: Reply) -> Response:
         if reply.ending is None:
@@ -271,6 +301,7 @@
         loop = asyncio.get_running_loop()
         server = self.server = LineServer(
             self.on_request,
+            lambda: not self.leaving,
             access_log=None,
             max_line_size=HEAD_MOST,
             max_field_size=HEAD_MOST,
@@ -301,7 +332,6 @@
         """Tells the platform first; takes new clients until it has surely heard; then finishes the rest."""
         ring(101, open=self.open)
         self.leaving = True
-            lambda: not self.leaving,
         self.look(self.now())
         end = self.now() + self.boot.bounds.grace_s
         await asyncio.sleep(max(0.0, end - LAST_S - self.now()))
--- a/pinward/tally/tries.py
+++ b/pinward/tally/tries.py
@@ -25,11 +25,11 @@
     def request(self, now: float) -> None:
         self.requests.add(now)
 
-    def may(self, now: float, fronts: int) -> bool:
-        """True where one more further arrival keeps within the budget."""
+    def may(self, now: float, fronts: int, part: float = 1.0) -> bool:
+        """True where one more further arrival keeps within the budget, or `part` of it."""
         start = now - self.window_s
         room = self.ratio * self.requests.since(start) + self.extra / max(1, fronts)
-        return self.further.since(start) + 1 <= room
+        return self.further.since(start) + 1 <= part * room
 
     def spend(self, now: float) -> None:
         self.further.add(now)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -16,7 +16,7 @@
 from pinward.directory.sanctioned import earlier, sanctioned
 from pinward.plan.boot import boot_of
 from pinward.plan.routes import Route
-from pinward.switchboard.call import Call, Reply, Send
+from pinward.switchboard.call import BESIDE_PART, Call, Reply, Send, Wait
 from pinward.switchboard.lines import Lines
 from pinward.switchboard.verdict import NEVER_RAN, Ending, Verdict
 from pinward.tally.tries import Tries
@@ -119,9 +119,10 @@
             step = call.next(0.01 * sent, self.lines, self.tries, None)
             if isinstance(step, Reply):
                 return sent, step
+            assert isinstance(step, Send)
             verdict, status = endings.pop(0)
             sent += 1
-            call.ended(0.01 * sent, self.lines, Ending(verdict, verdict.name, status), None)
+            call.ended(0.01 * sent, self.lines, step, Ending(verdict, verdict.name, status), None)
 
     def test_once_goes_on_only_where_nothing_ran(self) -> None:
         for verdict in Verdict:
@@ -141,11 +142,57 @@
 
     def test_no_machine_is_tried_twice_and_tries_are_bounded(self) -> None:
         call = Call(replace(READ, tries=9), "s", 0.0, 1.0)
-        while isinstance(call.next(0.0, self.lines, self.tries, None), Send):
-            call.ended(0.0, self.lines, Ending(Verdict.MAY_HAVE_RUN, "reset"), None)
+        while isinstance(step := call.next(0.0, self.lines, self.tries, None), Send):
+            call.ended(0.0, self.lines, step, Ending(Verdict.MAY_HAVE_RUN, "reset"), None)
         self.assertThat(len({m.entry.iid for m in call.tried}), Equals(len(call.tried)))
         self.assertThat(len(call.tried), Equals(4))
 
+    def beside(self, route: Route) -> tuple[Call, Send, Send | Wait | Reply]:
+        """A call whose machine is silent for longer than usual; its send, and what comes then."""
+        call = Call(route, "s", 0.0, 2.0)
+        first = call.next(0.0, self.lines, self.tries, None)
+        assert isinstance(first, Send)
+        wait = call.next(0.0, self.lines, self.tries, None)
+        assert isinstance(wait, Wait)
+        late = wait.most_s + 0.001 if wait.most_s < 2.0 else 1.0
+        return call, first, call.next(late, self.lines, self.tries, None)
+
+    def test_beside_a_silent_machine_a_second_is_asked_and_whichever_answers_counts(self) -> None:
+        call, first, second = self.beside(READ)
+        assert isinstance(second, Send)
+        self.assertThat(second.machine is first.machine, Is(False))
+        call.ended(0.5, self.lines, second, Ending(Verdict.RAN, "answer", 200), None)
+        reply = call.next(0.5, self.lines, self.tries, None)
+        assert isinstance(reply, Reply)
+        self.assertThat(reply.status, Equals(200))
+        call.ended(2.0, self.lines, first, Ending(Verdict.MAY_HAVE_RUN, "silent"), None)
+        self.assertThat(first.machine.open, Equals(0))
+        self.assertThat(first.machine.failed, Equals(1))
+
+    def test_beside_it_counts_only_once_both_failed(self) -> None:
+        call, first, second = self.beside(replace(READ, tries=2))
+        assert isinstance(second, Send)
+        call.ended(0.5, self.lines, first, Ending(Verdict.MAY_HAVE_RUN, "reset"), None)
+        self.assertThat(call.next(0.5, self.lines, self.tries, None), IsInstance(Wait))
+        call.ended(0.6, self.lines, second, Ending(Verdict.RAN, "answer", 200), None)
+        reply = call.next(0.6, self.lines, self.tries, None)
+        self.assertThat(reply, IsInstance(Reply))
+
+    def test_nothing_is_asked_beside_that_may_run_once_or_without_budget_or_room(self) -> None:
+        self.assertThat(self.beside(BOOK)[2], IsInstance(Wait))
+        while self.tries.may(0.0, 1, BESIDE_PART):
+            self.tries.spend(0.0)
+        self.assertThat(self.beside(READ)[2], IsInstance(Wait))
+        self.assertThat(self.tries.may(0.0, 1), Is(True))
+        self.tries = Tries(BOUNDS)
+        for _ in range(50):
+            self.tries.request(0.0)
+        for machine in self.lines.machines.values():
+            machine.open = machine.entry.slots
+        lone = Call(replace(READ, goal_s=9.0, timeout_s=9.0), "s", 0.0, 9.0)
+        self.assertThat(lone.next(0.0, self.lines, self.tries, None), IsInstance(Send))
+        self.assertThat(lone.next(3.0, self.lines, self.tries, None), IsInstance(Wait))
+
     def test_too_late_nothing_is_sent_and_the_answer_is_at_once(self) -> None:
         call = Call(READ, "s", 0.0, 0.05)
         step = call.next(0.049, self.lines, self.tries, None)
--- a/tests/test_gateway_wire.py
+++ b/tests/test_gateway_wire.py
@@ -267,6 +267,40 @@
         self.assertThat(answer.count(b"HTTP/1.1 200"), Equals(2))
         self.assertTrue(answer.index(b"Id: 7") < answer.index(b"Id: 8"))
 
+    def test_requests_sent_ahead_are_put_through_at_once(self) -> None:
+        async def work() -> tuple[bytes, list[bytes]]:
+            asked, go_on = asyncio.Queue(), asyncio.Event()  # type: ignore[var-annotated]
+
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                head = await reader.readuntil(b"\r\n\r\n")
+                asked.put_nowait(head)
+                if b"/toy/x" in head:
+                    await go_on.wait()  # the first answers last
+                writer.write(SOUND.replace(b"Id: 7", b"Id: 7" if b"/toy/x" in head else b"Id: 8"))
+
+            machine = await asyncio.start_server(serve, "127.0.0.1", 0)
+            board, stop, running = await self.board(machine.sockets[0].getsockname()[1])
+            reader, writer = await asyncio.open_connection("127.0.62.9", 18641)
+            first = self.GET.replace(b"Connection: close\r\n", b"")
+            writer.write(first + first.replace(b"/toy/x", b"/toy/y").replace(b"Id: 7", b"Id: 8"))
+            heads = [await asked.get(), await asked.get()]
+            stop.set()  # both were read: both are answered, and only the last says close
+            while not board.leaving:
+                await asyncio.sleep(0)
+            go_on.set()
+            answer = await reader.read()
+            await running
+            writer.close()
+            machine.close()
+            return answer, heads
+
+        answer, heads = played(work)
+        self.assertThat(len(heads), Equals(2))
+        self.assertThat(answer.count(b"HTTP/1.1 200"), Equals(2))
+        self.assertTrue(answer.index(b"Id: 7") < answer.index(b"Id: 8"))
+        self.assertThat(answer.lower().count(b"connection: close"), Equals(1))
+        self.assertTrue(answer.lower().index(b"connection: close") > answer.index(b"Id: 7"))
+
     def test_once_is_not_sent_again_after_a_break(self) -> None:
         post = b"POST /book/x HTTP/1.1\r\nHost: toy.example\r\nX-Try-Id: 7\r\n"
         post += b"Content-Length: 0\r\nConnection: close\r\n\r\n"
