--- a/pinward/exchange/__main__.py
+++ b/pinward/exchange/__main__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from pinward.trunk import lean as lean  # before all that would load OpenSSL
+
 import asyncio
 import signal
 import sys
--- a/pinward/trunk/__init__.py
+++ b/pinward/trunk/__init__.py
@@ -1,5 +1,4 @@
 """Lines between parts of the system: words on websockets, over TCP that does not hang on a silent peer
-(`link`), and a front's session with a control front (`session`). `lean` comes before aiohttp.
+(`link`), and a front's session with a control front (`session`). `lean` comes first in
+programs.
 """
-
-from pinward.trunk import lean as lean
--- a/pinward/trunk/lean.py
+++ b/pinward/trunk/lean.py
@@ -1,13 +1,20 @@
-"""Imported before aiohttp by the gateway's programs: keeps their start short.
+"""Imported first of all by the gateway's programs: keeps their start short and their memory small.
 
-aiohttp reads the machine's store of certificates as it is imported: 130 ms and 2 MB for each process, where
-no
-part of the gateway speaks TLS. OpenSSL's own variables name an empty store instead. Harm: a client of TLS in
-the same process would trust nobody; there is none.
+asyncio and aiohttp load OpenSSL for TLS and for digests: 8 MB and 0.1 s for each process, where no part of
+the gateway speaks TLS. Both work without it, and so does logbook with an empty module of that name. Harm: TLS
+cannot be had in the same process, and fails there at once; there is none.
 """
 
 from __future__ import annotations
 
-import os
+import sys
+from types import ModuleType
 
-os.environ["SSL_CERT_FILE"] = os.environ["SSL_CERT_DIR"] = os.devnull
+LEFT_OUT = ("ssl", "_ssl", "_hashlib")
+
+if "ssl" not in sys.modules:
+    for name in LEFT_OUT:
+        sys.modules[name] = None  # type: ignore[assignment]
+    import aiohttp.web_server as aiohttp_web_server  # noqa: F401
+
+    sys.modules["ssl"] = ModuleType("ssl")  # for logbook's handler of mails, which is not used
