The tally looks at each route by itself, and at few answers slow beyond scatter

Cause (trial/tally.py): faults and times were summed over routes, so a build bad on a sixth of the traffic looked sound; and times counted only from 24 answers on, which a loop that holds a slow build back does not let come: 11 answers 5 times slower, and the order was done. Change: counts by route (trial/arms.py), each tested with its part of the doubt; from six answers on a build is slow where its mean is beyond 1 + 6 over the root of n, and 2.2. Tests: one route failing, one route slow, many routes.

--- a/pinward/trial/front.py
+++ b/pinward/trial/front.py
@@ -14,12 +14,12 @@
 from pinward.policy.compare import SLOW_LEAST, SLOWER
 from pinward.policy.loop import AIM_FAULTS, AIM_LATENCY, PERIOD_S, Loop, within
 from pinward.policy.state import LEAST, LEAST_PER_S, LOOP_S
+from pinward.trial.arms import REST, ROUTES_MOST, Arms, slowness, summed
 from pinward.trial.order import Order, Stage
 
 KEPT = 400  # outcomes kept a build
 FREE_PART = 0.4  # of the free allowance, for all fronts together: the rest is for those that forget or come
 CAP_PART = 0.95  # of the cap: counted by what was sent here, judged by what arrived
-TIME_MOST = 8.0  # times the mean of the route: a longer time counts as this
 
 
 class Outcome(NamedTuple):
@@ -37,8 +37,7 @@
         self.order, self.bounds, self.begun = order, bounds, now
         self.loop, self.credit, self.step_at = Loop(), 0.0, now + PERIOD_S
         self.taken = self.sent = 0
-        self.counts = [0, 0, 0, 0]
-        self.times: dict[str, list[float]] = {}
+        self.routes: dict[str, Arms] = {}
         self.fresh: deque[Outcome] = deque(maxlen=KEPT)
         self.bound = False
         self.vote, self.why = "", ""
@@ -70,16 +69,16 @@
         self, now: float, new: bool, route: str, fault: bool, took: float, goal_s: float, cold: bool
     ) -> None:
         """A machine answered, well or not; what broke on the way is no verdict on a build."""
-        at = 0 if new else 2
-        self.counts[at] += 1
-        self.counts[at + 1] += fault
         if new:
             self.fresh.append(Outcome(now, route, fault, took, took / max(0.001, goal_s)))
+        arms = self.routes.get(route)
+        if arms is None:
+            if len(self.routes) >= ROUTES_MOST:
+                route = REST  # they still count together
+            arms = self.routes.setdefault(route, Arms())
+        arms.count(new, fault)
         if not cold and not fault:
-            times = self.times.setdefault(route, [0, 0.0, 0, 0.0])
-            mean = times[3] / times[2] if times[2] else took
-            times[at] += 1
-            times[at + 1] += min(took, TIME_MOST * mean)
+            arms.time(new, took)
 
     def step(self, now: float) -> None:
         """The loop and the vote, each period."""
@@ -89,7 +88,8 @@
         fresh = [o for o in self.fresh if o.at > now - LOOP_S]
         error = 1.0
         if fresh:
-            theirs = self.counts[3] / self.counts[2] if self.counts[2] else 0.0
+            whole = summed(self.routes.values())
+            theirs = whole.old_bad / whole.old if whole.old else 0.0
             faults = max(0.0, sum(o.fault for o in fresh) / max(LEAST, len(fresh)) - theirs)
             error = 1.0 - max(fmean(o.spent for o in fresh) / AIM_LATENCY, faults / AIM_FAULTS)
         out = self.loop.step(error, self.cap)
@@ -97,10 +97,9 @@
         self.vote, self.why = self.judge(now, error)
 
     def judge(self, now: float, error: float) -> tuple[str, str]:
-        new, bad, old, old_bad = self.counts
-        told = [t for t in self.times.values() if t[0] and t[2] >= SLOW_LEAST]
-        timed, expected = sum(int(t[0]) for t in told), sum(t[0] * t[3] / t[2] for t in told)
-        slower = sum(t[1] for t in told) / expected if expected > 0 else 1.0
+        whole = summed(self.routes.values())
+        new, bad, old, old_bad = whole.new, whole.new_bad, whole.old, whole.old_bad
+        slower, timed = slowness(self.routes.values(), SLOW_LEAST)
         why = f"new={new}/{bad} earlier={old}/{old_bad} slower={slower:.2f} share={self.loop.share:.3f}"
         if new >= LEAST and bad / new > AIM_FAULTS >= old_bad / max(1, old):
             return "back", why
@@ -111,4 +110,5 @@
 
     def report(self, now: float, life: str) -> list[Any]:
         age_s = round(now - self.begun, 3)
-        return [self.order.service, self.order.number, life, age_s, self.counts, self.times, self.vote]
+        routes = {name: arms.plain() for name, arms in self.routes.items()}
+        return [self.order.service, self.order.number, life, age_s, routes, self.vote]
--- a/pinward/trial/tally.py
+++ b/pinward/trial/tally.py
@@ -8,18 +8,23 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
+from math import sqrt
 from typing import Any
 
 from pinward.figures import tail_chance
 from pinward.plan.boot import Bound
 from pinward.policy.compare import FAULTIER, SLOW_LEAST, SLOWER
+from pinward.trial.arms import Arms, slowness, summed
 from pinward.trial.order import Order, Stage
 
 FAULT_FLOOR = 0.01  # share of faults put down to chance: machines' own errors are a few in a thousand
 DOUBT = 0.0005  # chance of blaming a sound build at one look; looks are some hundred an order
 FAULTS_LEAST = 5  # bad answers in all
-TIMED_LEAST = 2 * SLOW_LEAST  # outcomes in all that tell of times: they come from many fronts
+TIMED_LEAST = 6  # answers of the new build that tell of times, where they are slow beyond all scatter
+THEIRS_LEAST = 2 * SLOW_LEAST  # of the earlier build, on the same route
+SCATTER = 6.0  # of a mean over n answers, over the root of n: machines differ 2 to 1, times have tails
 WATCHED = 0.62  # of the order's term until a build goes on: what turns bad late is met before
 OUTCOMES_LEAST = 60  # at the new build, over all fronts
 VOTE_LIFE_S = 2.0  # s that a vote counts after it was last told
@@ -33,8 +38,7 @@
     at: float
     front: str
     age_s: float  # for how long the front has known the order
-    counts: list[int]  # new build's outcomes and faults, the earlier build's outcomes and faults
-    times: dict[str, list[float]]  # route: the new build's outcomes and seconds, the earlier's
+    routes: dict[str, Arms]
     vote: str
 
 
@@ -50,7 +54,7 @@
             self.reports[order.service] = {}
 
     def report(self, now: float, front: str, reports: list[Any]) -> None:
-        for service, number, life, age_s, counts, times, vote in reports:
+        for service, number, life, age_s, routes, vote in reports:
             kept = self.reports.get(service)
             if (
                 kept is None
@@ -58,39 +62,61 @@
                 or (life not in kept and len(kept) >= LIVES_MOST)
             ):
                 continue
-            kept[life] = Report(now, front, age_s, counts, times, vote)
+            kept[life] = Report(now, front, age_s, {n: Arms(*plain) for n, plain in routes.items()}, vote)
 
-    def sums(self, service: str) -> tuple[list[int], float, int]:
-        """Counts over all fronts; how many times slower the new build is; on how many outcomes."""
-        counts = [0, 0, 0, 0]
-        routes: dict[str, list[float]] = {}
+    def sums(self, service: str) -> dict[str, Arms]:
+        """What all fronts counted, by route."""
+        routes: dict[str, Arms] = {}
         for report in self.reports[service].values():
-            counts = [a + b for a, b in zip(counts, report.counts, strict=True)]
-            for route, times in report.times.items():
-                routes[route] = [
-                    a + b for a, b in zip(routes.get(route, [0, 0.0, 0, 0.0]), times, strict=True)
-                ]
-        told = [r for r in routes.values() if r[0] and r[2] >= TIMED_LEAST]
-        expected = sum(n * (theirs / m) for n, _, m, theirs in told)
-        seen, outcomes = sum(mine for _, mine, *_ in told), sum(int(n) for n, *_ in told)
-        return counts, seen / expected if expected > 0 else 1.0, outcomes
+            for route, arms in report.routes.items():
+                routes.setdefault(route, Arms()).add(arms)
+        return routes
+
+    @staticmethod
+    def faulty(arms: Arms, doubt: float) -> bool:
+        """True where the new build fails more often than chance and the earlier one's failures explain."""
+        theirs = FAULTIER * (arms.old_bad + 1) / (arms.old + 1) if arms.old_bad else 0.0
+        share = min(0.5, max(FAULT_FLOOR, theirs))
+        return arms.new_bad >= FAULTS_LEAST and tail_chance(arms.new_bad, arms.new, share) < doubt
+
+    @staticmethod
+    def slow(some: Iterable[Arms]) -> str:
+        """How much slower the new build is where that is considerable and beyond chance; else empty."""
+        slower, timed = slowness(some, THEIRS_LEAST)
+        sure = timed >= TIMED_LEAST and slower > max(SLOWER, 1.0 + SCATTER / sqrt(timed))
+        return f"slower={slower:.2f}" if sure else ""
+
+    def bad(self, routes: dict[str, Arms], whole: Arms) -> str:
+        """Where the new build is bad, in words; empty where it is not.
+
+        Each route is looked at by itself as well: one with a sixth of the traffic is lost in the sum.
+        """
+        if self.faulty(whole, DOUBT):
+            return "faults"
+        if why := self.slow(routes.values()):
+            return why
+        for name, arms in routes.items():
+            if self.faulty(arms, DOUBT / len(routes)):
+                return f"faults on {name}"
+            if why := self.slow((arms,)):
+                return f"{why} on {name}"
+        return ""
 
     def verdict(self, now: float, order: Order, fronts: int) -> tuple[Stage | None, str]:
         """Whether the order is over, and the evidence."""
         if self.begun.get(order.service, (0, 0.0))[0] != order.number:
             return None, ""
-        (sent, bad, theirs, theirs_bad), slower, timed = self.sums(order.service)
+        routes = self.sums(order.service)
+        whole = summed(routes.values())
         votes = [r for r in self.reports[order.service].values() if now - r.at < VOTE_LIFE_S]
         back, on = (sum(r.vote == word for r in votes) for word in ("back", "on"))
-        why = f"sent={sent} bad={bad} earlier={theirs}/{theirs_bad} slower={slower:.2f} on={on} back={back}"
-        share = max(FAULT_FLOOR, FAULTIER * (theirs_bad + 1) / (theirs + 1) if theirs_bad else FAULT_FLOOR)
-        if bad >= FAULTS_LEAST and tail_chance(bad, sent, min(0.5, share)) < DOUBT:
-            return Stage.UNDONE, why
-        if (timed >= TIMED_LEAST and slower > SLOWER) or back > max(1, fronts // 8):
-            return Stage.UNDONE, why
+        why = f"new={whole.new_bad}/{whole.new} earlier={whole.old_bad}/{whole.old} on={on} back={back}"
+        bad = self.bad(routes, whole)
+        if bad or back > max(1, fronts // 8):
+            return Stage.UNDONE, f"{why} {bad}"
         # A new primary learns late of an order that fronts have watched for long. Harm: a duty missed.
         ages = [now - self.begun[order.service][1], *(r.age_s + now - r.at for r in votes)]
         watched = max(ages) >= WATCHED * order.term_s
-        if watched and sent >= OUTCOMES_LEAST and 2 * on > len(votes) and on:
+        if watched and whole.new >= OUTCOMES_LEAST and 2 * on > len(votes) and on:
             return Stage.DONE, why
         return None, why
--- a/standin/trial_drill.py
+++ b/standin/trial_drill.py
@@ -1,4 +1,4 @@
-"""Roll-outs by the hundred in simulated time: sound builds and each sort of bad one, alone and beside troubles.
+"""Roll-outs by the hundred in simulated time: sound builds and each sort of bad one, beside troubles.
 
 `measure` plays them on all processors and returns counts, beside two baselines in the same run: a fixed share
 in place of the loop, and votes alone in place of the tally's sums.
@@ -16,6 +16,7 @@
 import logbook
 
 from pinward.policy.loop import Loop
+from pinward.trial.arms import Arms
 from pinward.trial.tally import Tally
 from standin.day_records import broken, exposed, sends
 from standin.exchange_day import Class, Day, Shape
@@ -63,8 +64,8 @@
         self.share, self.error = cap, error
         return cap
 
-    def unsummed(self: Tally, service: str) -> tuple[list[int], float, int]:
-        return [10**6, 0, 10**6, 0], 1.0, 0
+    def unsummed(self: Tally, service: str) -> dict[str, Arms]:
+        return {MAIN: Arms(new=10**6, old=10**6)}
 
     if name == "fixed share":
         with mock.patch.object(Loop, "step", fixed):
@@ -116,7 +117,9 @@
         return task, played(one(*task[1:]))
 
 
-def measure(seeds: int, first: int = 0, sides: tuple[str, ...] = SIDES, jobs: int = 4) -> list[dict[str, Any]]:
+def measure(
+    seeds: int, first: int = 0, sides: tuple[str, ...] = SIDES, jobs: int = 4
+) -> list[dict[str, Any]]:  # fmt: skip
     """Rows by side, sort and trouble: how many were wrong, sends, and the time to stop."""
     tasks = [
         (name, sort, beside, first + n)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -6,6 +6,7 @@
 import copy
 from dataclasses import replace
 from itertools import permutations
+from typing import Any
 
 import aiohttp
 from testtools import TestCase
@@ -20,6 +21,7 @@
 from pinward.switchboard.lines import Lines
 from pinward.switchboard.verdict import NEVER_RAN, Ending, Verdict
 from pinward.tally.tries import Tries
+from pinward.trial.arms import ROUTES_MOST
 from pinward.trial.front import Trial
 from pinward.trial.order import Order, Stage
 from pinward.trial.tally import Tally
@@ -266,10 +268,10 @@
     ORDER = Order("s", "v2", 1, "v1", 12.0)
 
     def report(
-        self, sent: int, bad: int, vote: str = "on", slow: float = 1.0, age_s: float = 9.0
+        self, sent: int, bad: int, vote: str = "on", slow: float = 1.0, age_s: float = 9.0, **more: Any
     ) -> list[object]:
-        times = {"r": [sent, sent * 0.05 * slow, 1000, 50.0]}
-        return ["s", 1, f"life{sent}.{bad}", age_s, [sent, bad, 1000, 2], times, vote]
+        routes = {"r": [sent, bad, 1000, 2, sent, sent * 0.05 * slow, 1000, 50.0], **more}
+        return ["s", 1, f"life{sent}.{bad}", age_s, routes, vote]
 
     def tally(self, *reports: list[object], now: float = 1.0) -> Stage | None:
         tally = Tally(BOUNDS)
@@ -290,6 +292,19 @@
         self.assertThat(self.tally(self.report(40, 0, "", slow=3.0)), Is(Stage.UNDONE))
         self.assertThat(self.tally(self.report(400, 3)), Is(Stage.DONE))
 
+    def test_bad_on_one_route_goes_back_though_the_sum_looks_sound(self) -> None:
+        failing, slow = [42, 6, 500, 1, 30, 1.5, 500, 25.0], [42, 0, 500, 1, 40, 6.0, 500, 25.0]
+        self.assertThat(self.tally(self.report(600, 2)), Is(Stage.DONE))
+        self.assertThat(self.tally(self.report(600, 2, rare=failing)), Is(Stage.UNDONE))
+        self.assertThat(self.tally(self.report(600, 2, rare=slow)), Is(Stage.UNDONE))
+
+    def test_a_front_counts_few_routes_apart_and_the_rest_together(self) -> None:
+        trial = Trial(self.ORDER, BOUNDS, 0.0)
+        for turn in range(3 * ROUTES_MOST):
+            trial.ended(0.1, True, f"r{turn}", False, 0.05, 0.5, False)
+        self.assertThat(len(trial.routes), Equals(ROUTES_MOST + 1))
+        self.assertThat(sum(arms.new for arms in trial.routes.values()), Equals(3 * ROUTES_MOST))
+
     def test_reports_twice_late_or_of_another_order_do_no_harm(self) -> None:
         tally = Tally(BOUNDS)
         tally.learn(0.0, self.ORDER)
@@ -298,7 +313,7 @@
         other = self.report(50, 50)
         other[1] = 2
         tally.report(1.0, "g", [other])
-        self.assertThat(tally.sums("s")[0], Equals([20, 2, 1000, 2]))
+        self.assertThat(tally.sums("s")["r"].plain()[:4], Equals([20, 2, 1000, 2]))
 
     def test_a_front_never_passes_cap_and_its_part_of_the_allowance(self) -> None:
         for fronts in (1, 12):
