--- /dev/null
+++ b/tests/test_gateway_day.py
@@ -0,0 +1,174 @@
+"""Whole gateways in simulated time under troubles, judged by outsiders' records; and errors planted, to be found."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+from unittest import mock
+
+import logbook
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, GreaterThan, LessThan
+
+from pinward.directory.entry import Standing
+from pinward.exchange.answers import Answers
+from pinward.switchboard.call import Call, Reply
+from pinward.switchboard.lines import Lines
+from pinward.switchboard.verdict import Verdict
+from pinward.tally.tries import Tries
+from pinward.trial.front import Trial
+from standin.day_records import broken, worth
+from standin.exchange_day import Day, small
+from standin.virtual import played
+from standin.works import Bad
+
+TERMS = {"RetryExtra": 10, "CanaryFrac": 0.1, "CanaryExtra": 20, "Undo": "5s", "Drain": "2s"}
+Troubles = Callable[[Day], Awaitable[None]]
+
+
+def play(
+    troubles: Troubles | None = None, seed: int = 1, scale: float = 0.3, length_s: float = 4.0, **terms: Any
+) -> Day:
+    async def whole() -> Day:
+        day = Day(small(scale, terms={**TERMS, **terms}), seed)
+        await day.play(length_s, troubles)
+        return day
+
+    with logbook.NullHandler().applicationbound():
+        day: Day = played(whole())
+    return day
+
+
+async def crash(day: Day) -> None:
+    """A machine of each service ends without a word, one of them with its power."""
+    await asyncio.sleep(1.0)
+    for service in ("reads", "books"):
+        day.crash(day.of(service)[0], 2.0, silent=service == "reads")
+
+
+async def lossy(day: Day) -> None:
+    """Machines whose answers are lost, or are none."""
+    for machine in day.of("books")[:3] + day.of("reads")[:3]:
+        machine.lost, machine.spoilt = 0.1, 0.1
+
+
+async def drain(day: Day) -> None:
+    await asyncio.sleep(0.5)
+    await asyncio.gather(*(day.leave(day.of(service)[0]) for service in ("reads", "books")))
+
+
+async def takeover(day: Day) -> None:
+    """The primary is killed in the middle of a change of configuration, and the answer is read back."""
+    await asyncio.sleep(0.5)
+    put = day.spawn(day.order("PUT", "/cfg", day.plan(2, extra=40)))
+    await asyncio.sleep(0.004)
+    lead = day.primary()
+    assert lead is not None
+    day.kill(lead, 1.5)
+    await put
+    await day.order("PUT", "/cfg", day.plan(3))
+    for _ in range(3):
+        await day.order("GET", "/cfg")
+        await asyncio.sleep(0.3)
+
+
+async def fronts_killed(day: Day) -> None:
+    await asyncio.sleep(1.0)
+    for ip in day.front_ips[:2]:
+        day.kill(ip, 0.5)
+
+
+async def power(day: Day) -> None:
+    """All control fronts lose their power right after an acknowledgement, one of them its disk as well."""
+    await asyncio.sleep(0.5)
+    await day.order("PUT", "/cfg", day.plan(2))
+    lead = day.primary()
+    for ip in day.core_ips:
+        day.kill(ip, 0.5, power=True, wipe=ip == lead)
+    await asyncio.sleep(1.5)
+    await day.order("GET", "/cfg")
+
+
+def rolled(bad: Bad | None) -> Troubles:
+    async def troubles(day: Day) -> None:
+        await asyncio.sleep(0.5)
+        await day.roll("reads", 5.0, bad)
+
+    return troubles
+
+
+class Days(TestCase):
+    def test_a_calm_day_is_served(self) -> None:
+        day = play()
+        self.assertThat(broken(day), Equals([]))
+        self.assertThat(worth(day)["within_aim"], GreaterThan(0.98))
+
+    def test_nothing_breaks_under_troubles(self) -> None:
+        for number, trouble in enumerate((crash, lossy, drain, takeover, fronts_killed, power)):
+            day = play(trouble, seed=10 + number)
+            self.assertThat(broken(day), Equals([]), trouble.__name__)
+            self.assertThat(worth(day)["served"], GreaterThan(0.85), trouble.__name__)
+
+    def test_one_seed_gives_one_day(self) -> None:
+        one, other = play(crash, seed=3, length_s=2.0), play(crash, seed=3, length_s=2.0)
+        self.assertThat([r.try_id for r in one.works.runs], Equals([r.try_id for r in other.works.runs]))
+
+    def test_a_bad_build_goes_back_and_a_sound_one_on(self) -> None:
+        for bad, phase in ((Bad(share=0.5), "undone"), (None, "done")):
+            day = play(rolled(bad), scale=0.5, length_s=6.0)
+            phases = [facts["phase"] for _, what, facts in day.events if what == "rolled"]
+            self.assertThat(phases, Equals([phase]))
+            self.assertThat(broken(day), Equals([]))
+
+    def test_beside_a_silent_machine_few_are_late(self) -> None:
+        served = worth(play(crash, seed=5))["within_aim"]
+        with mock.patch("pinward.switchboard.call.BESIDE", 1e9):
+            alone = worth(play(crash, seed=5))["within_aim"]
+        self.assertThat(alone, LessThan(served))
+
+
+class Planted(TestCase):
+    """The checkers find errors put in on purpose, so what they do not find counts."""
+
+    def finds(self, rule: str, day: Day) -> None:
+        self.assertThat({word.partition(" ")[0] for word in broken(day)}, Contains(rule))
+
+    def test_a_request_that_may_run_once_sent_again(self) -> None:
+        def again(self: Call, now: float, lines: Lines, tries: Tries) -> bool:
+            return self.last is not None and self.last.verdict is not Verdict.RAN and len(self.tried) < 2
+
+        with mock.patch.object(Call, "again", again):
+            self.finds("TWICE", play(lossy))
+
+    def test_a_promise_where_a_send_may_have_run(self) -> None:
+        def reply(self: Call, lines: Lines) -> Reply:
+            answer = whole(self, lines)
+            return Reply(503, back_s=0.1) if answer.ending is None else answer
+
+        whole = Call.reply
+        with mock.patch.object(Call, "reply", reply):
+            self.finds("REFUSED", play(lossy))
+
+    def test_a_machine_that_leaves_is_still_sent_to(self) -> None:
+        with mock.patch.object(Lines, "answers", staticmethod(lambda now, m: m.entry.standing < Standing.GONE)):
+            self.finds("DRAIN", play(drain))
+
+    def test_further_tries_without_a_budget(self) -> None:
+        with mock.patch.object(Tries, "may", lambda *_: True), mock.patch(
+            "pinward.switchboard.call.BESIDE", 0.3
+        ):  # fmt: skip
+            self.finds("BUDGET", play(RetryExtra=1))
+
+    def test_a_trial_without_its_clamp(self) -> None:
+        with mock.patch.object(Trial, "wants", lambda *_: True):
+            self.finds("EXPOSURE", play(rolled(Bad(share=0.3)), scale=0.5, length_s=6.0))
+
+    def test_a_configuration_acknowledged_and_not_kept(self) -> None:
+        async def put_plan(self: Answers, _: str, said: Any, body: bytes) -> tuple[int, str]:
+            held = self.parts.keeper.public.get("plan")
+            return (200, "{}") if held is not None else await whole(self, _, said, body)
+
+        whole = Answers.put_plan
+        with mock.patch.object(Answers, "put_plan", put_plan):
+            self.finds("CONFIG", play(takeover))
