pinward gateway drill, news, trials and load: what losses, roll-outs and choices come to

Cause: time without a primary, bytes of news, error rates of roll-outs and the worth of the choice of machine were not measured. Change: four commands on the stand-ins in simulated time, tables or JSON, exit 1 where a bound breaks.

--- a/pinward/command/gateway.py
+++ b/pinward/command/gateway.py
@@ -10,11 +10,13 @@
 import urllib.error
 import urllib.request
 from pathlib import Path
+from types import ModuleType
 from typing import Any
 
 import defopt
 
 from pinward.annunciator import EVENTS
+from pinward.command.shown import NotHeldError, rig
 from pinward.plan.boot import read_boot
 from pinward.plan.schema import plan_of
 
@@ -141,8 +143,109 @@
     return 0
 
 
+def table(rows: list[dict[str, Any]], as_json: bool) -> None:
+    """Prints rows that have the same fields, aligned or as JSON."""
+    if as_json:
+        print(json.dumps(rows))
+        return
+    names = list(rows[0])
+    cells = [names, *([told(row[name]) for name in names] for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    for line in cells:
+        print("  ".join(f"{cell:{width}}" for cell, width in zip(line, widths, strict=True)).rstrip())
+
+
+def told(value: Any) -> str:
+    return "/".join(f"{v:g}" for v in value.values()) if isinstance(value, dict) else str(value)
+
+
+def stand_in(name: str) -> ModuleType | None:
+    """A module of the stand-ins; None, which is told, where this runs without the repository."""
+    try:
+        return rig(name)
+    except NotHeldError as why:
+        print(f"pinward: {why}", file=sys.stderr)
+        return None
+
+
+def drill(*, seeds: int = 100, first: int = 0, machines: int = 3, as_json: bool = False) -> int:
+    """Loses core machines in simulated time: how long nobody leads, and until there are copies enough.
+
+    Times are median/99th of a hundred/worst. Exit 1 where a bound was passed or something acknowledged lost.
+
+    :param seeds: losses of each sort
+    :param first: the first seed
+    :param machines: core machines, 3 or 5
+    :param as_json: prints JSON
+    """
+    found = stand_in("exchange_drill")
+    if found is None:
+        return 1
+    rows = found.losses(seeds, first, machines)
+    table(rows, as_json)
+    if not as_json:
+        took = told(found.writes(seeds, first, machines))
+        print(f"bound without a primary {found.BOUND_S:.2f} s; a write, and a sync at most: {took} s")
+    return int(any(row["over"] or row["broken"] for row in rows))
+
+
+def news(*, fronts: int = 12, machines: int = 40, routes: int = 350, as_json: bool = False) -> int:
+    """Counts the bytes that exchanges tell a front: at rest, for a drain, for a configuration.
+
+    :param fronts: how many fronts have sessions
+    :param machines: how many machines beat
+    :param routes: routes that the new configuration adds
+    :param as_json: prints JSON
+    """
+    found = stand_in("exchange_drill")
+    if found is None:
+        return 1
+    row = found.news(fronts, machines, routes)
+    table([row], as_json)
+    return int(row["fronts_without_plan"] > 0)
+
+
+def trials(
+    *, seeds: int = 20, first: int = 0, jobs: int = 4, alone: bool = False, as_json: bool = False
+) -> int:  # fmt: skip
+    """Rolls out sound and bad builds in simulated time, beside a fixed share and votes alone.
+
+    Exit 1 where the gateway itself brought on a bad build, or sent to one beyond its bounds.
+
+    :param seeds: orders of each sort beside each trouble
+    :param first: the first seed
+    :param jobs: processors to use
+    :param alone: leaves the baselines out
+    :param as_json: prints JSON
+    """
+    found = stand_in("trial_drill")
+    if found is None:
+        return 1
+    rows = found.measure(seeds, first, found.SIDES[:1] if alone else found.SIDES, jobs)
+    table(rows, as_json)
+    own = [row for row in rows if row["side"] == found.SIDES[0]]
+    return int(any(row["over"] or row["broken"] or (row["wrong"] and row["build"] != "good") for row in own))
+
+
+def load(*, seeds: int = 2, first: int = 0, jobs: int = 4, as_json: bool = False) -> int:
+    """Compares the choice of machine with plain baselines at up to three times what the machines can do.
+
+    :param seeds: days a row
+    :param first: the first seed
+    :param jobs: processors to use
+    :param as_json: prints JSON
+    """
+    found = stand_in("load_drill")
+    if found is None:
+        return 1
+    rows = found.measure(seeds, first, jobs)
+    table(rows, as_json)
+    return int(any(row["broken"] for row in rows if row["side"] == found.SIDES[0]))
+
+
 def run(words: list[str]) -> int:
     """Runs the words after `pinward gateway`; the exit status."""
-    names = {word.__name__.replace("_", "-"): word for word in (check, show, rolls, events)}
+    calls = (check, show, rolls, events, drill, news, trials, load)
+    names = {word.__name__.replace("_", "-"): word for word in calls}
     done: Any = defopt.run(names, argv=words, short={}, argparse_kwargs={"prog": "pinward gateway"})
     return int(done)
--- a/standin/trial_drill.py
+++ b/standin/trial_drill.py
@@ -41,7 +41,7 @@
 def badness(sort: str, chance: Random) -> Bad | None:
     """A build of that sort, drawn: 20 to 60% errors or 2 to 8 times slower."""
     share, times = chance.uniform(0.2, 0.6), chance.uniform(2.5, 8.0)
-    harm = {"share": share} if chance.random() < 0.5 else {"times": times}
+    harm: dict[str, Any] = {"share": share} if chance.random() < 0.5 else {"times": times}
     match sort:
         case "errors":
             return Bad(share=share)
--- a/tests/test_gateway_day.py
+++ b/tests/test_gateway_day.py
@@ -1,4 +1,4 @@
-"""Whole gateways in simulated time under troubles, judged by outsiders' records; and errors planted, to be found."""
+"""Whole gateways in simulated time under troubles, judged by outsiders' records; errors planted are found."""
 
 from __future__ import annotations
 
@@ -151,7 +151,8 @@
             self.finds("REFUSED", play(lossy))
 
     def test_a_machine_that_leaves_is_still_sent_to(self) -> None:
-        with mock.patch.object(Lines, "answers", staticmethod(lambda now, m: m.entry.standing < Standing.GONE)):
+        stays = staticmethod(lambda now, machine: machine.entry.standing < Standing.GONE)
+        with mock.patch.object(Lines, "answers", stays):
             self.finds("DRAIN", play(drain))
 
     def test_further_tries_without_a_budget(self) -> None:
