The tally looks at the last seconds apart, and waits for routes that tell little

Cause: what turned bad late drowned in what was sound before; a route with few outcomes was not waited for; three faults of fourteen did not count. Change: sums of three seconds ago are taken off and the rest judged alike; a route with a twentieth of the traffic is to have 24 outcomes, until 0.8 of the term; three bad answers may tell.

--- a/pinward/trial/arms.py
+++ b/pinward/trial/arms.py
@@ -46,9 +46,16 @@
         *counts, new_timed, new_s, old_timed, old_s = astuple(self)
         return [*counts, new_timed, round(new_s, 3), old_timed, round(old_s, 3)]
 
-    def add(self, other: Arms) -> None:
+    def add(self, other: Arms, times: int = 1) -> None:
         for name, value in vars(other).items():
-            setattr(self, name, getattr(self, name) + value)
+            setattr(self, name, getattr(self, name) + times * value)
+
+    def since(self, earlier: Arms | None) -> Arms:
+        """What came after an earlier state of these counts."""
+        later = Arms(*astuple(self))
+        if earlier is not None:
+            later.add(earlier, -1)
+        return later
 
 
 def summed(some: Iterable[Arms]) -> Arms:
--- a/pinward/trial/tally.py
+++ b/pinward/trial/tally.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 from math import sqrt
@@ -21,10 +22,13 @@
 
 FAULT_FLOOR = 0.01  # share of faults put down to chance: machines' own errors are a few in a thousand
 DOUBT = 0.0005  # chance of blaming a sound build at one look; looks are some hundred an order
-FAULTS_LEAST = 5  # bad answers in all
+FAULTS_LEAST = 3  # bad answers in all
 TIMED_LEAST = 6  # answers of the new build that tell of times, where they are slow beyond all scatter
 THEIRS_LEAST = 2 * SLOW_LEAST  # of the earlier build, on the same route
 SCATTER = 6.0  # of a mean over n answers, over the root of n: machines differ 2 to 1, times have tails
+RECENT_S, MARK_S = 3.0, 0.5  # s looked at apart, lest what turned bad late drown; s between two marks
+ROUTE_PART, ROUTE_LEAST = 0.05, 24  # a route with so much of the traffic is to have so many outcomes
+WATCHED_THIN = 0.8  # of the order's term that a build waits for these at most
 WATCHED = 0.62  # of the order's term until a build goes on: what turns bad late is met before
 OUTCOMES_LEAST = 60  # at the new build, over all fronts
 VOTE_LIFE_S = 2.0  # s that a vote counts after it was last told
@@ -47,11 +51,13 @@
         self.bounds = bounds
         self.begun: dict[str, tuple[int, float]] = {}  # service: order's number, and since when it is known
         self.reports: dict[str, dict[str, Report]] = {}
+        self.marks: dict[str, deque[tuple[float, dict[str, Arms]]]] = {}  # sums of earlier moments
 
     def learn(self, now: float, order: Order) -> None:
         if self.begun.get(order.service, (0, 0.0))[0] != order.number:
             self.begun[order.service] = (order.number, now)
             self.reports[order.service] = {}
+            self.marks[order.service] = deque()
 
     def report(self, now: float, front: str, reports: list[Any]) -> None:
         for service, number, life, age_s, routes, vote in reports:
@@ -102,6 +108,23 @@
                 return f"{why} on {name}"
         return ""
 
+    def recent(self, now: float, service: str, routes: dict[str, Arms]) -> str:
+        """Where the new build is bad in what came lately; empty where it is not."""
+        marks = self.marks[service]
+        if not marks or now - marks[-1][0] >= MARK_S:
+            marks.append((now, routes))
+        while len(marks) > 1 and now - marks[1][0] >= RECENT_S:
+            marks.popleft()
+        late = {name: arms.since(marks[0][1].get(name)) for name, arms in routes.items()}
+        why = self.bad(late, summed(late.values()))
+        return f"lately {why}" if why else ""
+
+    @staticmethod
+    def thin(routes: dict[str, Arms], whole: Arms) -> bool:
+        """True where a route that carries traffic tells little of the new build yet."""
+        part = ROUTE_PART * (whole.new + whole.old)
+        return any(arms.new + arms.old >= part and arms.new < ROUTE_LEAST for arms in routes.values())
+
     def verdict(self, now: float, order: Order, fronts: int) -> tuple[Stage | None, str]:
         """Whether the order is over, and the evidence."""
         if self.begun.get(order.service, (0, 0.0))[0] != order.number:
@@ -111,12 +134,12 @@
         votes = [r for r in self.reports[order.service].values() if now - r.at < VOTE_LIFE_S]
         back, on = (sum(r.vote == word for r in votes) for word in ("back", "on"))
         why = f"new={whole.new_bad}/{whole.new} earlier={whole.old_bad}/{whole.old} on={on} back={back}"
-        bad = self.bad(routes, whole)
+        bad = self.bad(routes, whole) or self.recent(now, order.service, routes)
         if bad or back > max(1, fronts // 8):
             return Stage.UNDONE, f"{why} {bad}"
         # A new primary learns late of an order that fronts have watched for long. Harm: a duty missed.
         ages = [now - self.begun[order.service][1], *(r.age_s + now - r.at for r in votes)]
-        watched = max(ages) >= WATCHED * order.term_s
+        watched = max(ages) >= (WATCHED_THIN if self.thin(routes, whole) else WATCHED) * order.term_s
         if watched and whole.new >= OUTCOMES_LEAST and 2 * on > len(votes) and on:
             return Stage.DONE, why
         return None, why
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -269,7 +269,7 @@
 
     def report(
         self, sent: int, bad: int, vote: str = "on", slow: float = 1.0, age_s: float = 9.0, **more: Any
-    ) -> list[object]:
+    ) -> list[Any]:
         routes = {"r": [sent, bad, 1000, 2, sent, sent * 0.05 * slow, 1000, 50.0], **more}
         return ["s", 1, f"life{sent}.{bad}", age_s, routes, vote]
 
@@ -298,6 +298,26 @@
         self.assertThat(self.tally(self.report(600, 2, rare=failing)), Is(Stage.UNDONE))
         self.assertThat(self.tally(self.report(600, 2, rare=slow)), Is(Stage.UNDONE))
 
+    def test_what_turns_bad_late_is_seen_beside_much_that_was_sound(self) -> None:
+        tally = Tally(BOUNDS)
+        tally.learn(0.0, self.ORDER)
+        for turn in range(10):
+            sound = self.report(60 * (turn + 1), 0, vote="")
+            sound[2] = "life"
+            sound[4]["r"][2:] = [100 * turn, 0, 60 * turn, 3.0 * turn, 100 * turn, 5.0 * turn]
+            tally.report(float(turn), "f", [sound])
+            self.assertThat(tally.verdict(float(turn), self.ORDER, 1)[0], Is(None))
+        late = self.report(640, 0, vote="")
+        late[2], late[4] = "life", {"r": [640, 0, 1000, 0, 640, 47.0, 1000, 50.0]}
+        tally.report(10.0, "f", [late])
+        self.assertThat(tally.verdict(10.0, self.ORDER, 1)[0], Is(Stage.UNDONE))
+
+    def test_a_route_that_tells_little_is_waited_for(self) -> None:
+        thin = [10, 0, 200, 0, 10, 0.5, 200, 10.0]
+        early, late = (self.report(600, 0, age_s=age_s, rare=thin) for age_s in (8.5, 9.7))
+        self.assertThat(self.tally(early), Is(None))
+        self.assertThat(self.tally(late), Is(Stage.DONE))
+
     def test_a_front_counts_few_routes_apart_and_the_rest_together(self) -> None:
         trial = Trial(self.ORDER, BOUNDS, 0.0)
         for turn in range(3 * ROUTES_MOST):
