A front that starts dials the next control front beside a silent one; two incidents

Change: trunk/session.py tries the next after 60 ms of silence and takes the first that answers. Test in simulated time, red before.

--- a/pinward/trunk/session.py
+++ b/pinward/trunk/session.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -22,6 +23,7 @@
 from pinward.trunk.link import DESK, Dialler, say, word_of
 
 NEWS_S = 1.5  # s for an answer to a pull, which is held less than one
+BESIDE_S = 0.06  # s of silence after which the next control front is tried beside: many round trips
 AGAIN_S = (0.05, 0.25)  # s until another control front is tried, drawn
 OLD_S = 1.0  # s that a control front may be without a primary until another is tried: a change takes as long
 
@@ -98,40 +100,81 @@
 
     async def run(self, dialler: Dialler) -> None:
         while True:
-            core = self.cores[self.at % len(self.cores)]
             try:
-                await self.once(dialler, core)
+                ws = await self.reach(dialler)
+                try:
+                    await self.pull(ws)
+                finally:
+                    dialler.abort(ws)
             except (OSError, aiohttp.ClientError, TimeoutError, ValueError) as why:
                 if self.stands:
-                    ring(301, core=core, why=type(why).__name__)
+                    ring(301, core=self.core, why=type(why).__name__)
             self.stands = False
             self.at += 1
             await asyncio.sleep(self.chance.uniform(*AGAIN_S))
 
-    async def once(self, dialler: Dialler, core: str) -> None:
-        ws = await dialler.dial((core, self.boot.inner), DESK)
+    @property
+    def core(self) -> str:
+        """The control front whose turn it is."""
+        return self.cores[self.at % len(self.cores)]
+
+    async def reach(self, dialler: Dialler) -> Any:
+        """A connection to the first control front that answers, from the one whose turn it is.
+
+        The next is tried beside one that is silent for a moment: after a loss of power one in three is, and a
+        front that waits for it serves nobody meanwhile. Raises OSError where none answers.
+        """
+        tries: dict[asyncio.Future[Any], int] = {}
         try:
-            fresh_at = asyncio.get_running_loop().time()
-            while True:
-                pull = {
-                    "t": "pull",
-                    "front": self.boot.name,
-                    "have": self.known.vector(),
-                    "reports": self.reports(),
-                }
-                await say(ws, pull)
-                news = word_of(await asyncio.wait_for(ws.receive(), NEWS_S))
-                if news is None:
-                    raise ConnectionResetError("the control front ended the session")
-                if not self.stands:
-                    self.stands = True
-                    ring(300, core=core)
-                self.learn_cores(news["cores"])
-                now = asyncio.get_running_loop().time()
-                if self.known.take(now, news):
-                    self.changed()
-                fresh_at = now if news["fresh"] else fresh_at
-                if now - fresh_at > OLD_S and len(self.cores) > 1:
-                    raise ConnectionResetError("the control front has no primary")
+            first = self.at
+            for turn in range(len(self.cores)):
+                core = self.cores[(first + turn) % len(self.cores)]
+                tries[asyncio.ensure_future(dialler.dial((core, self.boot.inner), DESK))] = first + turn
+                last = turn == len(self.cores) - 1
+                while tries:
+                    done, _ = await asyncio.wait(
+                        tries, timeout=None if last else BESIDE_S, return_when=asyncio.FIRST_COMPLETED
+                    )
+                    for task in done:
+                        at = tries.pop(task)
+                        if task.exception() is None:
+                            self.at = at
+                            return task.result()
+                    if not last or not done:
+                        break
+            raise ConnectionError("no control front answers")
         finally:
-            dialler.abort(ws)
+            for task in tries:
+                task.add_done_callback(partial(self.unused, dialler))
+                task.cancel()
+
+    @staticmethod
+    def unused(dialler: Dialler, task: asyncio.Future[Any]) -> None:
+        """Ends a connection that came up beside the one in use."""
+        if not task.cancelled() and task.exception() is None:
+            dialler.abort(task.result())
+
+    async def pull(self, ws: Any) -> None:
+        """Pulls what is new for as long as the control front answers and is of use."""
+        fresh_at = asyncio.get_running_loop().time()
+        while True:
+            pull = {
+                "t": "pull",
+                "front": self.boot.name,
+                "have": self.known.vector(),
+                "reports": self.reports(),
+            }
+            await say(ws, pull)
+            news = word_of(await asyncio.wait_for(ws.receive(), NEWS_S))
+            if news is None:
+                raise ConnectionResetError("the control front ended the session")
+            if not self.stands:
+                self.stands = True
+                ring(300, core=self.core)
+            self.learn_cores(news["cores"])
+            now = asyncio.get_running_loop().time()
+            if self.known.take(now, news):
+                self.changed()
+            fresh_at = now if news["fresh"] else fresh_at
+            if now - fresh_at > OLD_S and len(self.cores) > 1:
+                raise ConnectionResetError("the control front has no primary")
--- a/tests/test_gateway_day.py
+++ b/tests/test_gateway_day.py
@@ -19,7 +19,7 @@
 from pinward.tally.tries import Tries
 from pinward.trial.front import Trial
 from standin.day_records import broken, worth
-from standin.exchange_day import Day, small
+from standin.exchange_day import START_S, Day, small
 from standin.virtual import played
 from standin.works import Bad
 
@@ -128,6 +128,24 @@
         self.assertThat(alone, LessThan(served))
 
 
+class Sessions(TestCase):
+    def test_a_front_that_starts_beside_a_silent_control_front_is_ready_at_once(self) -> None:
+        took: list[float] = []
+
+        async def troubles(day: Day) -> None:
+            await asyncio.sleep(0.5)
+            day.kill(next(ip for ip in day.core_ips if ip != day.primary()), 9.0, power=True)
+            for ip in day.front_ips:
+                day.kill(ip, 0.1)
+            began = day.now()
+            while not all(ip in day.hosts and day.hosts[ip][1].ready for ip in day.front_ips):
+                await asyncio.sleep(0.01)
+            took.append(day.now() - began)
+
+        self.assertThat(broken(play(troubles, seed=20)), Equals([]))
+        self.assertThat(took[0], LessThan(0.1 + START_S + 0.2))
+
+
 class Planted(TestCase):
     """The checkers find errors put in on purpose, so what they do not find counts."""
 
