Nothing is asked beside where half of a service's slots are busy

Lines: switchboard/call.py, beside: a free slot at one machine was enough. Change: the whole service must have half of its slots free.

--- a/pinward/switchboard/call.py
+++ b/pinward/switchboard/call.py
@@ -22,6 +22,7 @@
 BACK_S = (0.1, 0.3)  # s after which a client is told to come back, drawn: they come spread
 ADMIT, ADMIT_RANK, ADMIT_LEAST = 0.75, 0.05, 0.45  # of the goal: expected time at most; less for each rank
 BESIDE = 2.2  # times the expected time until a second machine is asked beside: one in fifty takes longer
+BESIDE_LOAD = 0.5  # of the slots busy, over the service, up to which work is done twice: above, queues grow
 BESIDE_PART = 0.5  # of the budget: the rest is for requests whose send ended in vain
 NEAR_S = 0.001  # s that count as none: a wait so short would be a busy one
 LEAST_S = 0.004  # s below which nothing is sent any more: a machine would be asked in vain
@@ -123,7 +124,7 @@
         """Whether a second machine is asked while the first is silent.
 
         Guards against machines that are gone or very slow: nothing else tells of them before the deadline.
-        Harm: work done twice, within half of the budget, and only on machines with a free slot.
+        Harm: work done twice, within half of the budget, and only where half of the slots are free.
         """
         first, service = self.sending[0], lines.services.get(self.service)
         may = self.route.repeatable and not self.streams and len(self.sending) == 1 and service is not None
@@ -135,8 +136,8 @@
         if late_s > NEAR_S:
             return Wait(late_s)
         machine = lines.pick(now, self.service, self.tried)
-        free = machine is not None and machine.busy(now) < machine.entry.slots
-        if machine is None or not free or not tries.may(now, lines.fronts, BESIDE_PART):
+        spare = machine is not None and service.load(now) <= BESIDE_LOAD
+        if machine is None or not spare or not tries.may(now, lines.fronts, BESIDE_PART):
             return Wait(inf)
         return self.send(now, lines, tries, trial, machine, False)
 
--- a/pinward/switchboard/lines.py
+++ b/pinward/switchboard/lines.py
@@ -68,6 +68,11 @@
         self.trial: list[Machine] = []
         self.connections = 0  # that a machine accepts
 
+    def load(self, now: float) -> float:
+        """Part of the slots that are busy, as far as this front knows; over 1 where requests wait."""
+        slots = sum(machine.entry.slots for machine in self.base)
+        return sum(machine.busy(now) for machine in self.base) / slots if slots else 1.0
+
     def part(self) -> float:
         """The new build's part of the machines."""
         whole = len(self.base) + len(self.trial)
