A request's head that comes for longer than the configuration allows ends its connection

Change: a connection knows since when a head has been coming, and is ended after Hdr; others are untouched. Test over sockets, red before.

--- a/pinward/switchboard/ahead.py
+++ b/pinward/switchboard/ahead.py
@@ -28,14 +28,20 @@
 class Line(RequestHandler):
     """One client's connection."""
 
-    __slots__ = ("begun",)
+    __slots__ = ("begun", "head_since")
 
     def __init__(self, manager: Server, **more: Any) -> None:
         super().__init__(manager, **more)
         self.begun: dict[int, asyncio.Task[Response]] = {}  # by the message's identity
+        self.head_since: float | None = None  # since when a request's head has been coming
 
     def data_received(self, data: bytes) -> None:
+        seen = self._request_count
         super().data_received(data)
+        if self._request_count > seen or self._current_request is not None:
+            self.head_since = None
+        elif data and self.head_since is None:
+            self.head_since = self._loop.time()
         if not self._messages or (self._current_request is None and len(self._messages) == 1):
             return
         server = self._manager
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -18,7 +18,7 @@
 
 from pinward.annunciator import ring
 from pinward.plan.boot import Boot, Watched
-from pinward.switchboard.ahead import LineServer
+from pinward.switchboard.ahead import Line, LineServer
 from pinward.switchboard.call import Call, Reply, Send, Wait
 from pinward.switchboard.lines import Lines
 from pinward.switchboard.verdict import Ending, Verdict
@@ -129,12 +129,15 @@
         return len(server.connections)
 
     def end_idle(self, now: float) -> None:
-        # Guards against connections that never ask: aiohttp ends only those that asked once. Harm: none.
-        waits = {}
+        # Guards against connections that never ask, or whose head comes for ever: aiohttp ends only those
+        # that asked once. Harm: to a client slower than the configuration allows.
+        plan, waits = self.known.plan, {}
+        idle_s, head_s = (plan.idle_s, plan.head_s) if plan is not None else (IDLE_S, IDLE_S)
         for connection in self.server.connections if self.server is not None else ():
             if self.idle(connection):
                 since = waits[connection] = self.waits.get(connection, now)
-                if now - since > (self.known.plan.idle_s if self.known.plan else IDLE_S):
+                head_since = connection.head_since if isinstance(connection, Line) else None
+                if now - since > idle_s or (head_since is not None and now - head_since > head_s):
                     connection.force_close()
         self.waits = waits
 
--- a/tests/test_gateway_wire.py
+++ b/tests/test_gateway_wire.py
@@ -301,6 +301,31 @@
         self.assertThat(answer.lower().count(b"connection: close"), Equals(1))
         self.assertTrue(answer.lower().index(b"connection: close") > answer.index(b"Id: 7"))
 
+    def test_a_head_that_comes_for_ever_ends_its_connection_and_no_other(self) -> None:
+        async def work() -> tuple[bytes, bytes]:
+            board, stop, running = await self.board(1)
+            slow, slow_out = await asyncio.open_connection("127.0.62.9", 18641)
+            well, well_out = await asyncio.open_connection("127.0.62.9", 18641)
+            slow_out.write(b"GET /toy/x HTTP/1.1\r\nHost: toy.ex")
+            assert board.server is not None and board.known.plan is not None
+            while not any(getattr(c, "head_since", None) for c in board.server.connections):
+                await asyncio.sleep(0)
+            now, head_s = board.now(), board.known.plan.head_s
+            board.end_idle(now + head_s - 0.5)
+            board.end_idle(now + head_s + 0.5)
+            end = await slow.read()
+            well_out.write(self.GET.replace(b"/toy/", b"/not/"))
+            answer = await well.read()
+            stop.set()
+            await running
+            slow_out.close()
+            well_out.close()
+            return end, answer
+
+        end, answer = played(work)
+        self.assertThat(end, Equals(b""))
+        self.assertThat(answer, StartsWith(b"HTTP/1.1 404"))
+
     def test_once_is_not_sent_again_after_a_break(self) -> None:
         post = b"POST /book/x HTTP/1.1\r\nHost: toy.example\r\nX-Try-Id: 7\r\n"
         post += b"Content-Length: 0\r\nConnection: close\r\n\r\n"
