Long answers are passed on as they come; one that breaks off never looks whole

Change: from 256 KB on it goes to the client as it comes, with its machine's length or in chunks (switchboard/stream.py); where the machine breaks off the connection ends, nothing is sent again. Answers asked for ahead still wait for their turn. Tests over sockets: a megabyte with a length and in chunks, whole and cut.

--- a/pinward/switchboard/ahead.py
+++ b/pinward/switchboard/ahead.py
@@ -16,13 +16,14 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
-from aiohttp.web_response import Response
+from aiohttp.web_response import StreamResponse
 from aiohttp.web_server import Server
 
 AHEAD_MOST = 8  # requests of one connection that are put through at a time, the first not counted
+AHEAD = "ahead"  # mark of a request that was begun before its turn
 METHODS = ("GET", "HEAD")  # what has no body, and may be sent ahead by the protocol's rules
 
-Answering = Callable[[BaseRequest], Coroutine[Any, Any, Response]]
+Answering = Callable[[BaseRequest], Coroutine[Any, Any, StreamResponse]]
 
 
 class Line(RequestHandler):
@@ -32,7 +33,7 @@
 
     def __init__(self, manager: Server, **more: Any) -> None:
         super().__init__(manager, **more)
-        self.begun: dict[int, asyncio.Task[Response]] = {}  # by the message's identity
+        self.begun: dict[int, asyncio.Task[StreamResponse]] = {}  # by the message's identity
         self.head_since: float | None = None  # since when a request's head has been coming
 
     def data_received(self, data: bytes) -> None:
@@ -65,9 +66,10 @@
                 return
             writer = StreamWriter(self, self._loop)
             request = BaseRequest(message, payload, self, writer, self._task_handler, self._loop)
+            request[AHEAD] = True
             self.begun[id(message)] = self._loop.create_task(server.answer(request))
 
-    def taken(self, request: BaseRequest) -> asyncio.Task[Response] | None:
+    def taken(self, request: BaseRequest) -> asyncio.Task[StreamResponse] | None:
         """The answer of a request that was begun as it was read."""
         return self.begun.pop(id(request._message), None)
 
@@ -82,7 +84,7 @@
     def __call__(self) -> RequestHandler:
         return Line(self, loop=self._loop, **self._kwargs)
 
-    async def in_turn(self, request: BaseRequest) -> Response:
+    async def in_turn(self, request: BaseRequest) -> StreamResponse:
         """The answer to the request whose turn it is; one that ends the connection says so
         only where no answer behind it was begun.
         """
@@ -98,3 +100,8 @@
     """True where requests behind this one are put through already: its answer must not say close."""
     line = request.protocol
     return isinstance(line, Line) and bool(line.begun)
+
+
+def ahead(request: BaseRequest) -> bool:
+    """True for a request that was begun before its turn: its answer must wait."""
+    return AHEAD in request
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -12,15 +12,16 @@
 from typing import Any
 
 from aiohttp.web_request import BaseRequest
-from aiohttp.web_response import Response
+from aiohttp.web_response import Response, StreamResponse
 from aiohttp.web_server import Server
 from multidict import CIMultiDict
 
 from pinward.annunciator import ring
 from pinward.plan.boot import Boot, Watched
-from pinward.switchboard.ahead import Line, LineServer
+from pinward.switchboard.ahead import Line, LineServer, ahead
 from pinward.switchboard.call import Call, Reply, Send, Wait
 from pinward.switchboard.lines import Lines
+from pinward.switchboard.stream import Sink
 from pinward.switchboard.verdict import Ending, Verdict
 from pinward.switchboard.wire import DEADLINE, NOT_RUN, WANT, Wire, passed_on
 from pinward.tally.tries import Tries
@@ -158,7 +159,7 @@
         response.force_close()
         return response
 
-    async def on_request(self, request: BaseRequest) -> Response:
+    async def on_request(self, request: BaseRequest) -> StreamResponse:
         self.open += 1
         try:
             return await self.serve(request)
@@ -170,7 +171,7 @@
         finally:
             self.open -= 1
 
-    async def serve(self, request: BaseRequest) -> Response:
+    async def serve(self, request: BaseRequest) -> StreamResponse:
         now, plan = self.now(), self.known.plan
         headers = request.headers
         if plan is None:
@@ -217,7 +218,7 @@
 
         return rest(), True
 
-    async def put_through(self, request: BaseRequest, call: Call, body: Any) -> Response:
+    async def put_through(self, request: BaseRequest, call: Call, body: Any) -> StreamResponse:
         name = call.service
         tries = self.tries.get(name)
         if tries is None:
@@ -228,17 +229,18 @@
             headers["Content-Length"] = str(request.content_length)
         headers.popall("Expect", None)
         sends: set[asyncio.Task[None]] = set()
+        sink = Sink(request, not ahead(request))
         while True:
             now, trial = self.now(), self.trials.get(name)
             step = call.next(now, self.lines, tries, trial)
             if isinstance(step, Reply):
-                return self.answer(request, step)
+                return await self.answer(sink, step)
             if isinstance(step, Wait):
                 most_s = step.most_s if step.most_s != inf else None
                 await asyncio.wait(sends, timeout=most_s, return_when=asyncio.FIRST_COMPLETED)
                 sends = {task for task in sends if not task.done()}
                 continue
-            work = self.send(request, headers.copy(), step, body, call, trial)
+            work = self.send(request, headers.copy(), step, body, call, trial, sink)
             if call.route.repeatable:
                 sends.add(self.spawn(work))
             else:
@@ -257,7 +259,8 @@
             ring(110, why=repr(why))
 
     async def send(
-        self, request: BaseRequest, headers: Any, step: Send, body: Any, call: Call, trial: Trial | None
+        self, request: BaseRequest, headers: Any, step: Send, body: Any, call: Call, trial: Trial | None,
+        sink: Sink,
     ) -> None:  # fmt: skip
         """One send, from its beginning to what it tells of its machine."""
         entry = step.machine.entry
@@ -268,13 +271,16 @@
         assert self.wire is not None
         ending = Ending(Verdict.MAY_HAVE_RUN, "ended with its front")
         try:
-            ending = await self.wire.send(request.method, url, headers, body, step.allow_s, fresh)
+            ending = await self.wire.send(request.method, url, headers, body, step.allow_s, fresh, sink)
         finally:
+            call.streams = call.streams or sink.opened
             call.ended(self.now(), self.lines, step, ending, trial)
         if ending.what in ("another's", "spoilt", "cut"):
             ring(310, iid=entry.iid, what=ending.what)
 
-    def answer(self, request: BaseRequest, reply: Reply) -> Response:
+    async def answer(self, sink: Sink, reply: Reply) -> StreamResponse:
+        if sink.opened:
+            return await sink.end(reply.ending is not None and not reply.ending.body)
         if reply.ending is None:
             return self.own(reply.status, reply.back_s)
         headers = CIMultiDict((key, value) for key, value in reply.ending.headers if key != NOT_RUN)
--- /dev/null
+++ b/pinward/switchboard/stream.py
@@ -0,0 +1,55 @@
+"""A long answer passed on as it comes, in bounded memory; one that breaks off never looks complete."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import StreamResponse
+
+
+class Sink:
+    """Where one request's answer may be passed on to before it is whole. Opened once, by one send."""
+
+    def __init__(self, request: BaseRequest, in_turn: bool) -> None:
+        self.request, self.may = request, in_turn and request.method != "HEAD"
+        self.response: StreamResponse | None = None
+        self.gone = False  # the client left
+
+    @property
+    def opened(self) -> bool:
+        return self.response is not None
+
+    async def open(self, status: int, headers: Any, length: int | None) -> bool:
+        """Begins the answer; False where it is not this request's turn or another send has begun."""
+        if not self.may or self.opened:
+            return False
+        response = self.response = StreamResponse(status=status, headers=headers)
+        if length is not None:
+            response.content_length = length
+        else:
+            response.enable_chunked_encoding()
+        try:
+            await response.prepare(self.request)
+        except ConnectionError:
+            self.gone = True
+        return True
+
+    async def write(self, part: bytes) -> None:
+        """Passes a part on; waits where the client is slow. The rest is read all the same where it left."""
+        if self.gone or self.response is None:
+            return
+        try:
+            await self.response.write(part)
+        except ConnectionError:
+            self.gone = True
+
+    async def end(self, whole: bool) -> StreamResponse:
+        """The answer's end. Raises ConnectionResetError, and ends the connection, where it is not whole."""
+        response = self.response
+        if not whole or self.gone or response is None:
+            if self.request.transport is not None:
+                self.request.transport.abort()
+            raise ConnectionResetError("the answer broke off")
+        await response.write_eof()
+        return response
--- a/pinward/switchboard/wire.py
+++ b/pinward/switchboard/wire.py
@@ -15,13 +15,15 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from pinward.switchboard.stream import Sink
 from pinward.switchboard.verdict import Ending, Verdict
 
 CONNECT_S = (
     0.35  # s for a connection to a machine to come up: hundreds of round trips, a lost packet costs more
 )
 REST_S = 4.0  # s that an idle connection is kept; machines close theirs later
-BODY_MOST = 8 * 2**20  # bytes of an answer held whole, so that it can be checked before it is passed on
+HELD_MOST = 256 * 1024  # bytes of an answer held, so that it is whole before it is passed on
+BODY_MOST = 8 * 2**20  # bytes of one that cannot be passed on yet: it was asked for ahead
 AUTO = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 HOP = frozenset(
     (
@@ -75,9 +77,9 @@
 
     async def send(
         self, method: str, url: str, headers: CIMultiDict[str], body: bytes | AsyncIterator[bytes] | None,
-        allow_s: float, fresh: bool,
+        allow_s: float, fresh: bool, sink: Sink | None = None,
     ) -> Ending:  # fmt: skip
-        """One request to one machine; never raises but on cancellation."""
+        """One request to one machine; never raises but on cancellation. A long answer goes into `sink`."""
         session = self.single if fresh else self.kept
         timeout = aiohttp.ClientTimeout(total=allow_s, sock_connect=min(CONNECT_S, allow_s))
         try:
@@ -85,7 +87,7 @@
                 method, URL(url, encoded=True), headers=headers, data=body or None, allow_redirects=False,
                 timeout=timeout,
             ) as answer:  # fmt: skip
-                return await self.read(answer, headers.get(ID))
+                return await self.read(answer, headers.get(ID), sink)
         except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError):
             return Ending(Verdict.NOT_SENT, "refused")
         except TimeoutError:
@@ -97,7 +99,7 @@
         except (OSError, aiohttp.ClientError):
             return Ending(Verdict.MAY_HAVE_RUN, "reset")
 
-    async def read(self, answer: aiohttp.ClientResponse, asked: str | None) -> Ending:
+    async def read(self, answer: aiohttp.ClientResponse, asked: str | None, sink: Sink | None) -> Ending:
         told = answer.headers
         load = load_of(told.get(LOAD))
         if answer.status == 421 or NOT_RUN in told:
@@ -106,13 +108,23 @@
         if told.get(ID) != asked or (answer.status < 300 and STAMP not in told):
             answer.close()
             return Ending(Verdict.MAY_HAVE_RUN, "another's")
-        parts, size = [], 0
+        parts: list[bytes] = []
+        size, streams = 0, False
+        kept = passed_on(told)
         async for part in answer.content.iter_any():
             size += len(part)
+            if not streams and size > HELD_MOST and sink is not None:
+                streams = await sink.open(answer.status, kept, answer.content_length)
+                held, parts = parts, []
+                for earlier in held if streams else ():
+                    await sink.write(earlier)
+                parts = [] if streams else held
+            if streams and sink is not None:
+                await sink.write(part)
+                continue
             if size > BODY_MOST:
                 answer.close()
                 return Ending(Verdict.MAY_HAVE_RUN, "too long")
             parts.append(part)
         body = b"".join(parts)
-        kept = passed_on(told)
         return Ending(Verdict.RAN, "answer", answer.status, list(kept.items()), body, load)
--- a/standin/exchange_day.py
+++ b/standin/exchange_day.py
@@ -95,13 +95,20 @@
             yield self.data
 
 
+class Request(SimpleNamespace):
+    """None of them was begun before its turn."""
+
+    def __contains__(self, key: str) -> bool:
+        return False
+
+
 def request(method: str, path: str, headers: dict[str, str], data: bytes = b"") -> Any:
     """What the hosts use of aiohttp's request."""
 
     async def read() -> bytes:
         return data
 
-    return SimpleNamespace(
+    return Request(
         method=method, path=path, raw_path=path, headers=CIMultiDict(headers), body_exists=bool(data),
         content_length=len(data), content=Body(data), transport=None, read=read,
     )  # fmt: skip
--- a/standin/works.py
+++ b/standin/works.py
@@ -265,7 +265,7 @@
     rest_s: float = REST_S
 
     async def send(
-        self, method: str, url: str, headers: Any, body: Any, allow_s: float, fresh: bool
+        self, method: str, url: str, headers: Any, body: Any, allow_s: float, fresh: bool, sink: Any
     ) -> Ending:  # fmt: skip
         return await self.works.send(self.front, self.zone, url, headers, allow_s)
 
--- a/tests/test_gateway_wire.py
+++ b/tests/test_gateway_wire.py
@@ -10,7 +10,7 @@
 
 from multidict import CIMultiDict
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, Is, Not, StartsWith
+from testtools.matchers import Contains, Equals, Is, LessThan, Not, StartsWith
 
 from pinward.directory.entry import Entry, Standing
 from pinward.plan.boot import boot_of
@@ -326,6 +326,28 @@
         self.assertThat(end, Equals(b""))
         self.assertThat(answer, StartsWith(b"HTTP/1.1 404"))
 
+    LONG = 2**20  # bytes of an answer that is not held
+
+    def test_a_long_answer_is_passed_on_as_it_comes(self) -> None:
+        head = SOUND.partition(b"Content-Length")[0]
+        body = b"z" * self.LONG
+        for told in (b"Content-Length: %d\r\n\r\n" % self.LONG + body,
+                     b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % self.LONG + body + b"\r\n0\r\n\r\n"):
+            answer, _ = self.ask(self.GET, head + told)
+            self.assertThat(answer, StartsWith(b"HTTP/1.1 200 OK\r\n"))
+            self.assertThat(answer, Contains(b"X-Stamp: s\r\n"))
+            self.assertThat(answer.count(b"z"), Equals(self.LONG))
+
+    def test_a_long_answer_that_breaks_off_never_looks_whole_and_is_not_sent_again(self) -> None:
+        head = SOUND.partition(b"Content-Length")[0]
+        chunked = b"Transfer-Encoding: chunked\r\n\r\nfffff\r\n"
+        for told in (b"Content-Length: %d\r\n\r\n" % self.LONG, chunked):
+            answer, machine = self.ask(self.GET, head + told + b"z" * (self.LONG // 2), SOUND)
+            self.assertThat(len(machine.heads), Equals(1))
+            got, _, rest = answer.partition(b"\r\n\r\n")
+            self.assertThat(rest.count(b"z"), LessThan(self.LONG))
+            self.assertThat(rest.endswith(b"0\r\n\r\n"), Is(False))
+
     def test_once_is_not_sent_again_after_a_break(self) -> None:
         post = b"POST /book/x HTTP/1.1\r\nHost: toy.example\r\nX-Try-Id: 7\r\n"
         post += b"Content-Length: 0\r\nConnection: close\r\n\r\n"
