--- a/pinward/command/gateway.py
+++ b/pinward/command/gateway.py
@@ -244,6 +244,35 @@
     return int(any(row["broken"] for row in rows if row["side"] == found.SIDES[0]))
 
 
+def day(file: Path, *, seed: int | None = None, as_json: bool = False) -> int:
+    """Plays a day told by a file on a whole gateway in simulated time, and judges it.
+
+    Exit 1 where something broke; 2 where the file is faulty.
+
+    :param file: what the deployment has, its traffic and troubles, as example/day.toml
+    :param seed: another seed than the file's
+    :param as_json: prints JSON
+    """
+    found = stand_in("day_file")
+    if found is None:
+        return 1
+    told_day = found.read(file)
+    if told_day.is_err():
+        print(told_day.unwrap_err(), file=sys.stderr)
+        return 2
+    played = found.play(told_day.unwrap(), seed)
+    faults = found.judged(played)
+    if as_json:
+        print(json.dumps({"spans": found.spans(played), "broken": faults}))
+    else:
+        table(found.spans(played), False)
+        for when, what, facts in played.events:
+            if what in ("rolled", "unanswered"):
+                print(f"{when:.2f} {what} " + " ".join(f"{k}={v}" for k, v in facts.items() if k != "body"))
+        print("\n".join(faults) or "nothing broken")
+    return int(bool(faults))
+
+
 def model(*, states: int = 20_000, plant: str = "none", as_json: bool = False) -> int:
     """Explores the control state: every order of words, ticks, restarts and lost disks, within bounds.
 
@@ -267,7 +296,7 @@
 
 def run(words: list[str]) -> int:
     """Runs the words after `pinward gateway`; the exit status."""
-    calls = (check, show, rolls, events, drill, news, trials, load, model)
+    calls = (check, show, rolls, events, drill, news, trials, load, model, day)
     names = {word.__name__.replace("_", "-"): word for word in calls}
     done: Any = defopt.run(names, argv=words, short={}, argparse_kwargs={"prog": "pinward gateway"})
     return int(done)
--- a/tests/test_gateway_day.py
+++ b/tests/test_gateway_day.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import tempfile
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from typing import Any
 from unittest import mock
 
@@ -18,6 +20,7 @@
 from pinward.switchboard.verdict import Verdict
 from pinward.tally.tries import Tries
 from pinward.trial.front import Trial
+from standin import day_file
 from standin.day_records import broken, worth
 from standin.exchange_day import START_S, Day, small
 from standin.virtual import played
@@ -146,6 +149,27 @@
         self.assertThat(took[0], LessThan(0.1 + START_S + 0.2))
 
 
+class Files(TestCase):
+    def test_the_example_plays_and_a_fault_is_told_by_field(self) -> None:
+        text = (Path(__file__).parents[1] / "example" / "day.toml").read_text()
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "day.toml"
+            short = text.replace("length_s = 20.0", "length_s = 3.0").replace("at = 10.0", "at = 0.5")
+            path.write_text(short)
+            told = day_file.read(path).unwrap()
+            day = day_file.play(told)
+            self.assertThat(day_file.judged(day), Equals([]))
+            self.assertThat(len(day_file.spans(day)), Equals(2))
+            for old, new, field in (
+                ("slots = 6", "slots = 0", "service.0.slots"),
+                ('kind = "crash"', 'kind = "crush"', "trouble.2.kind"),
+                ('service = "lists"', 'service = "listings"', "service"),
+                ("length_s = 20.0", "length_s = ", "the whole"),
+            ):
+                path.write_text(text.replace(old, new))
+                self.assertThat(day_file.read(path).unwrap_err(), Contains(f"{path}: {field}: "))
+
+
 class Planted(TestCase):
     """The checkers find errors put in on purpose, so what they do not find counts."""
 
