--- a/standin/day_file.py
+++ b/standin/day_file.py
@@ -1,7 +1,7 @@
 """A day told by a readable file: what the deployment has, its traffic, and troubles at their times.
 
-`read` checks a TOML file by one schema and names file, field and reason; `play` returns the day played, `spans`
-its figures, `judged` what broke. `example/day.toml` has the fields.
+`read` checks a TOML file by one schema and names file, field and reason; `play` returns the day played,
+`spans` its figures, `judged` what broke. `example/day.toml` has the fields.
 """
 
 from __future__ import annotations
