One that shares the votes with another stands again at once

Lines: exchange/keeper.py, on_no and go_on. Change: refused, and without a majority 0.12 s later, it gives the epoch up and stands again within 0.3 s, drawn.

--- a/pinward/exchange/keeper.py
+++ b/pinward/exchange/keeper.py
@@ -32,6 +32,7 @@
 ROUND_S = 0.6  # s until an attempt to lead is given up, and until a copy's answer is missed
 BACK_S = 0.1  # s after its start until a former primary stands: links come up meanwhile
 FREE_S = 0.1  # s, drawn, until a copy stands whose primary gave up
+TIE_S = 0.3  # s, drawn, until one that lost an epoch to a tie stands again: two rarely draw alike
 PROBE_S = 0.3  # s for a majority to say that it would help: only then an epoch is used up
 GATHER_S = 0.12  # s more, once a majority said yes, for enough copies to answer
 PAUSE_S = 0.5  # s between two changes of view by a primary that lasts
@@ -136,7 +137,7 @@
         self.base_view = kept.view
         self.synced: set[str] = set()
         self.seated: set[str] = set()
-        self.round_at = self.gather_at = inf
+        self.round_at = self.gather_at = self.refused_at = inf
         self.beat_at = self.change_at = -inf
         self.answered: dict[str, float] = {}  # when the last beat that a peer answered was sent
         self.pubs: dict[str, Stamp] = {}
@@ -289,7 +290,7 @@
         self.kept.promised = self.epoch
         self.yes, self.synced, self.seated, self.next_view = {}, set(), set(), None
         self.left_out = set(self.blanks)
-        self.round_at, self.gather_at = now + ROUND_S, inf
+        self.round_at, self.gather_at, self.refused_at = now + ROUND_S, inf, inf
         self.change_at = now + PAUSE_S
         ticket = self.save(now)
         stamp = newest(self.kept.items)
@@ -300,6 +301,11 @@
     def go_on(self, now: float) -> None:
         if self.role is Role.ASKING and now >= self.gather_at:
             self.choose(now)
+        elif self.role is Role.ASKING and self.gather_at == inf and now >= self.refused_at + GATHER_S:
+            # Guards against two that stood at once and share the votes: each waited for its round and its
+            # patience, 2 to 4 s in all. Harm: an epoch used up where an answer was late.
+            self.follow(now)
+            self.stand_at = now + TIE_S * self.chance.random()
         elif self.role is Role.SYNCING and now >= self.round_at - ROUND_S / 3:
             self.seat(now)
         elif now >= self.round_at:
@@ -436,9 +442,13 @@
             self.gather(now)
 
     def on_no(self, now: float, peer: str, word: Word) -> None:
-        if word["n"] == self.epoch and self.role is Role.ASKING and word["promised"] > self.epoch:
-            self.kept.promised = max(self.kept.promised, word["promised"])
+        if word["n"] != self.epoch or self.role is not Role.ASKING:
+            return
+        self.kept.promised = max(self.kept.promised, word["promised"])
+        if word["promised"] > self.epoch:
             self.follow(now)
+        else:
+            self.refused_at = min(self.refused_at, now)
 
     def on_blank(self, now: float, peer: str, word: Word) -> None:
         self.blanks.add(peer)
--- a/tests/test_gateway_keeper.py
+++ b/tests/test_gateway_keeper.py
@@ -176,6 +176,26 @@
         self.assertThat(world.now - began, LessThan(0.5))
 
 
+class Ties(TestCase):
+    def test_one_that_shares_the_votes_stands_again_soon(self) -> None:
+        """Symptom: two of three copies stood at once, with one of five machines dead; nobody led for 4 s."""
+        names = tuple(f"c{n}" for n in range(5))
+        view = keepers.View(1, "c3", ("c3", "c0", "c1"), names)
+        keeper = Keeper("c0", keepers.Kept(1, view, False), 2, 1, 0.0)
+        keeper.tick(2.0)
+        for peer in ("c1", "c2"):
+            keeper.hear(2.0, peer, {"t": "would", "n": 1})
+        self.assertThat(keeper.role, Is(keepers.Role.ASKING))
+        keeper.saved(2.01, keeper.ticket)
+        keeper.hear(2.01, "c2", {"t": "yes", "n": 2, "view": view.plain(), "stamp": [0, 0]})
+        keeper.hear(2.01, "c1", {"t": "no", "n": 2, "promised": 2})
+        keeper.tick(2.01 + keepers.GATHER_S / 2)
+        self.assertThat(keeper.role, Is(keepers.Role.ASKING))  # a third answer may be on its way
+        keeper.tick(2.02 + keepers.GATHER_S)
+        self.assertThat(keeper.role, Is(keepers.Role.FOLLOWING))
+        self.assertThat(keeper.stand_at, LessThan(2.02 + keepers.GATHER_S + keepers.TIE_S))
+
+
 class Property(TestCase):
     @settings(max_examples=25, deadline=None, derandomize=True)
     @given(st.integers(10_000, 10_000_000), st.sampled_from([(3, 1), (5, 2)]))
