A long answer ends whole only where its own send did, not one beside it

Cause: an answer without a body from a machine asked beside would have ended the stream of the first as whole; seen on reading, not met. Lines: switchboard/host.py, answer. Change: an ending says whether its body was streamed.

--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -280,7 +280,7 @@
 
     async def answer(self, sink: Sink, reply: Reply) -> StreamResponse:
         if sink.opened:
-            return await sink.end(reply.ending is not None and not reply.ending.body)
+            return await sink.end(reply.ending is not None and reply.ending.streamed)
         if reply.ending is None:
             return self.own(reply.status, reply.back_s)
         headers = CIMultiDict((key, value) for key, value in reply.ending.headers if key != NOT_RUN)
--- a/pinward/switchboard/verdict.py
+++ b/pinward/switchboard/verdict.py
@@ -28,3 +28,4 @@
     headers: list[tuple[str, str]] = field(default_factory=list)
     body: bytes = b""
     load: tuple[int, int, int] | None = None  # running, waiting, slots
+    streamed: bool = False  # its body was passed on as it came
--- a/pinward/switchboard/wire.py
+++ b/pinward/switchboard/wire.py
@@ -127,4 +127,4 @@
                 return Ending(Verdict.MAY_HAVE_RUN, "too long")
             parts.append(part)
         body = b"".join(parts)
-        return Ending(Verdict.RAN, "answer", answer.status, list(kept.items()), body, load)
+        return Ending(Verdict.RAN, "answer", answer.status, list(kept.items()), body, load, streams)
