--- a/pinward/command/gateway.py
+++ b/pinward/command/gateway.py
@@ -22,6 +22,7 @@
 from pinward.plan.schema import plan_of
 
 PAGE = Path(__file__).parents[2] / "docs" / "operate" / "events.md"
+DRAWN = Path("found") / "days"  # where drawn days and the lines of their results go
 ANSWER_S = 3.0  # s for an exchange to answer
 
 
@@ -273,6 +274,64 @@
     return int(bool(faults))
 
 
+def draw(site: Path, *, seed: int = 0, days: int = 10, into: Path = DRAWN, pairs: bool = False) -> int:
+    """Writes days for the users' bench: troubles of all kinds by chance, one seed a day.
+
+    Exit 2 where the site's file is faulty or has a kind of trouble that is not known here.
+
+    :param site: the site's file, which has places, services, traffic and floors
+    :param seed: the first seed; days with an even one replace core machines
+    :param days: how many
+    :param into: the folder they go to
+    :param pairs: puts two of the five hard points together each day, at the worst moment
+    """
+    found = stand_in("day_draw")
+    if found is None:
+        return 1
+    told_site = found.read(site)
+    if told_site.is_err():
+        print(f"pinward: {told_site.unwrap_err()}", file=sys.stderr)
+        return 2
+    for file in found.write(told_site.unwrap(), range(seed, seed + days), into, pairs):
+        print(file)
+    return 0
+
+
+def hunt(
+    bench: Path, *, site: list[Path], day: list[Path], jobs: int = 3, for_s: float = 1800.0,
+    results: Path = DRAWN / "results.txt",
+) -> int:  # fmt: skip
+    """Plays drawn days on the users' bench, and keeps a line of each with its score, gate and broken rules.
+
+    Exit 1 where a day failed the gate or was not played.
+
+    :param bench: the bench's program
+    :param site: files of the sites that days were drawn from
+    :param day: files of days
+    :param jobs: days beside one another; one takes about two processors
+    :param for_s: s after which no day is begun
+    :param results: where lines are added
+    """
+    found, drawn = stand_in("day_hunt"), stand_in("day_draw")
+    if found is None or drawn is None:
+        return 1
+    sites = {}
+    for path in site:
+        told_site = drawn.read(path)
+        if told_site.is_err():
+            print(f"pinward: {told_site.unwrap_err()}", file=sys.stderr)
+            return 2
+        sites[told_site.unwrap()["name"]] = path.resolve()
+    strange = [file for file in day if not any(file.name.startswith(f"{name}-") for name in sites)]
+    if strange:
+        print(f"pinward: {strange[0]}: the name of no site told begins its name", file=sys.stderr)
+        return 2
+    played = found.hunt(bench, sites, day, jobs, for_s, results)
+    fell = [line for line in played if line.gate != "passed"]
+    print(f"{len(played)} of {len(day)} days played, {len(fell)} not passed")
+    return int(bool(fell))
+
+
 def model(*, states: int = 20_000, plant: str = "none", as_json: bool = False) -> int:
     """Explores the control state: every order of words, ticks, restarts and lost disks, within bounds.
 
@@ -296,7 +355,7 @@
 
 def run(words: list[str]) -> int:
     """Runs the words after `pinward gateway`; the exit status."""
-    calls = (check, show, rolls, events, drill, news, trials, load, model, day)
+    calls = (check, show, rolls, events, drill, news, trials, load, model, day, draw, hunt)
     names = {word.__name__.replace("_", "-"): word for word in calls}
     done: Any = defopt.run(names, argv=words, short={}, argparse_kwargs={"prog": "pinward gateway"})
     return int(done)
