--- a/standin/day_draw.py
+++ b/standin/day_draw.py
@@ -263,7 +263,7 @@
 
 def draw(site: dict[str, Any], seed: int) -> dict[str, Any]:
     """A day of all kinds. An even seed has core machines replaced; closing faults take turns by the seed."""
-    rng = Random(f"drawn {seed}")
+    rng = Random(f"drawn {site['name']} {seed}")
     day = frame(rng, site, seed, "drawn")
     last = day["length_s"] - QUIET_S
     rows = replacements(rng, day["length_s"]) if seed % 2 == 0 else []
@@ -282,7 +282,7 @@
 
 def paired(site: dict[str, Any], seed: int) -> dict[str, Any]:
     """A day that puts two of the five points together, over and over, with changes all day."""
-    rng = Random(f"paired {seed}")
+    rng = Random(f"paired {site['name']} {seed}")
     pair = PAIRS[seed % len(PAIRS)]
     day = frame(rng, site, seed, "-".join(("paired", *pair)))
     first = day["length_s"] * 0.1
