--- a/standin/day_hunt.py
+++ b/standin/day_hunt.py
@@ -58,13 +58,14 @@
 
 
 def build() -> str:
-    """The commit that is played, with a plus where files differ from it."""
+    """The last commit that changed what is played, with a plus where files differ from it."""
 
     def git(*words: str) -> str:
-        return subprocess.run(("git", *words), capture_output=True, text=True, check=False).stdout.strip()
+        words = ("git", *words, "--", "pinward", "deploy", ":!pinward/command", ":!deploy/checked")
+        return subprocess.run(words, capture_output=True, text=True, check=False).stdout.strip()
 
-    changed = git("status", "--porcelain", "--untracked-files=no", "--", "pinward", "deploy")
-    return git("rev-parse", "--short", "HEAD") + ("+" if changed else "")
+    changed = git("status", "--porcelain", "--untracked-files=no")
+    return git("log", "-1", "--format=%h") + ("+" if changed else "")
 
 
 def play(bench: Path, site: Path, file: Path, of: str, limit_s: float = DAY_S) -> Played:
