--- a/pinward/command/gateway.py
+++ b/pinward/command/gateway.py
@@ -274,7 +274,9 @@
     return int(bool(faults))
 
 
-def draw(site: Path, *, seed: int = 0, days: int = 10, into: Path = DRAWN, pairs: bool = False) -> int:
+def draw(
+    site: Path, *, seed: int = 0, days: int = 10, into: Path = DRAWN, pairs: bool = False, times: int = 1
+) -> int:  # fmt: skip
     """Writes days for the users' bench: troubles of all kinds by chance, one seed a day.
 
     Exit 2 where the site's file is faulty or has a kind of trouble that is not known here.
@@ -284,7 +286,11 @@
     :param days: how many
     :param into: the folder they go to
     :param pairs: puts two of the five hard points together each day, at the worst moment
+    :param times: makes days so many times as long, with so many times the troubles; not with --pairs
     """
+    if not 1 <= times <= 10 or (times > 1 and pairs):
+        print("pinward: times: must be 1 to 10, and 1 with --pairs", file=sys.stderr)
+        return 2
     found = stand_in("day_draw")
     if found is None:
         return 1
@@ -292,7 +298,7 @@
     if told_site.is_err():
         print(f"pinward: {told_site.unwrap_err()}", file=sys.stderr)
         return 2
-    for file in found.write(told_site.unwrap(), range(seed, seed + days), into, pairs):
+    for file in found.write(told_site.unwrap(), range(seed, seed + days), into, pairs, times):
         print(file)
     return 0
 
--- a/standin/day_draw.py
+++ b/standin/day_draw.py
@@ -217,15 +217,15 @@
     return told
 
 
-def replacements(rng: Random, length_s: float) -> list[tuple[str, dict[str, Any]]]:
-    """Core machines that go one after another, planned or not, from any moment on."""
-    rows, at = [], rng.uniform(QUIET_S, length_s / 3)
+def replacements(rng: Random, first_s: float, length_s: float) -> list[tuple[str, dict[str, Any]]]:
+    """Core machines that go one after another, planned or not, from any moment of a span of time on."""
+    rows, at, last = [], first_s + rng.uniform(QUIET_S, length_s / 3), first_s + length_s - QUIET_S
     for _ in range(rng.randint(*REPLACED)):
         if rng.random() < 0.5:
             rows.append((PLAN, {"at": round(at, 2), **PLANNED}))
         else:
             rows.append((FAULTS, entry(rng, {}, "replace_core", at)))
-        at = min(at + rng.uniform(*REPLACE_S), length_s - QUIET_S)
+        at = min(at + rng.uniform(*REPLACE_S), last)
     return rows
 
 
@@ -233,7 +233,7 @@
     return PLAN if "planned" in told["how"].split() else KINDS[told["kind"]].under
 
 
-def frame(rng: Random, site: dict[str, Any], seed: int, name: str) -> dict[str, Any]:
+def frame(rng: Random, site: dict[str, Any], seed: int, name: str, times: int = 1) -> dict[str, Any]:
     """A day without troubles: traffic scaled from the site's, floors of its troubled day of nearest load."""
     scale = rng.uniform(*LOAD)
     traffic = [{**row, "per_s": round(row["per_s"] * scale, 1)} for row in site["traffic"]]
@@ -241,7 +241,7 @@
     troubled = [day for day in site["day"] if day.get(FAULTS)] or site["day"]
     near = min(troubled, key=lambda day: abs(sum(row["per_s"] for row in day["traffic"]) - load))
     head = {field: near[field] for field in HEAD if field in near}
-    length_s = round(site["length_s"] * rng.uniform(*LENGTH), 1)
+    length_s = round(site["length_s"] * rng.uniform(*LENGTH) * times, 1)
     head |= {"name": f"{name}-{seed}", "seed": rng.getrandbits(28), "light": False, "length_s": length_s}
     return {**head, PLAN: [], FAULTS: [], "traffic": traffic}
 
@@ -261,22 +261,26 @@
     return day
 
 
-def draw(site: dict[str, Any], seed: int) -> dict[str, Any]:
-    """A day of all kinds. An even seed has core machines replaced; closing faults take turns by the seed."""
-    rng = Random(f"drawn {site['name']} {seed}")
-    day = frame(rng, site, seed, "drawn")
-    last = day["length_s"] - QUIET_S
-    rows = replacements(rng, day["length_s"]) if seed % 2 == 0 else []
-    rolled = False
-    for side, (least, most) in ENTRIES.items():
-        names = [name for name in played_on(site) if KINDS[name].under == side and name != "replace_core"]
-        for _ in range(rng.randint(least, most)):
-            name = rng.choice(names)
-            if name.startswith("rollout") and rolled:  # one roll-out a day: a second may not start meanwhile
-                name = "config_race"
-            rolled = rolled or name.startswith("rollout")
-            rows.append((side, entry(rng, site, name, rng.uniform(QUIET_S, last))))
-    rows.append((PLAN, {"at": 1.0, "kind": "config_change", "how": "route"}))
+def draw(site: dict[str, Any], seed: int, times: int = 1) -> dict[str, Any]:
+    """A day of all kinds. An even seed has core machines replaced; closing faults take turns by the seed.
+
+    A day `times` as long has so many times the troubles: through all core machines, and round again.
+    """
+    rng = Random(f"drawn {site['name']} {seed} {times}")
+    day = frame(rng, site, seed, "drawn" if times == 1 else f"drawn-{times}-long", times)
+    span_s = day["length_s"] / times
+    rows: list[tuple[str, dict[str, Any]]] = [(PLAN, {"at": 1.0, "kind": "config_change", "how": "route"})]
+    for first_s in (span_s * turn for turn in range(times)):
+        rows += replacements(rng, first_s, span_s) if seed % 2 == 0 else []
+        rolled = False
+        for side, (least, most) in ENTRIES.items():
+            names = [name for name in played_on(site) if KINDS[name].under == side and name != "replace_core"]
+            for _ in range(rng.randint(least, most)):
+                name = rng.choice(names)
+                if name.startswith("rollout") and rolled:  # a second may not start while the first goes on
+                    name = "config_race"
+                rolled = rolled or name.startswith("rollout")
+                rows.append((side, entry(rng, site, name, first_s + rng.uniform(QUIET_S, span_s - QUIET_S))))
     return ended(rng, day, seed // 2, rows)
 
 
@@ -295,7 +299,7 @@
                 told |= {"how": how, **fields}
                 rows.append((under(told), told))
     if seed % 2 == 0 and "replace" not in pair:
-        rows += replacements(rng, day["length_s"])
+        rows += replacements(rng, 0.0, day["length_s"])
     for at in range(1, int(day["length_s"]), 4):
         rows.append(
             (PLAN, {"at": at + 0.5, "kind": "config_change", "how": rng.choice(("idle", "route", "timeout"))})
@@ -327,12 +331,14 @@
     return "\n".join(lines) + "\n"
 
 
-def write(site: dict[str, Any], seeds: range, into: Path, pairs: bool = False) -> list[Path]:
+def write(
+    site: dict[str, Any], seeds: range, into: Path, pairs: bool = False, times: int = 1
+) -> list[Path]:
     """Writes a day a seed into a folder; returns the files."""
     into.mkdir(parents=True, exist_ok=True)
     files = []
     for seed in seeds:
-        day = paired(site, seed) if pairs else draw(site, seed)
+        day = paired(site, seed) if pairs else draw(site, seed, times)
         files.append(into / f"{site['name']}-{day['name']}.toml")
         files[-1].write_text(spell(day))
     return files
--- a/tests/test_gateway_days.py
+++ b/tests/test_gateway_days.py
@@ -115,6 +115,17 @@
             self.assertThat(day["traffic"][0]["per_s"], LessThan(100.0))
             self.assertThat(day["traffic"][0]["clients"], Equals(20))
 
+    def test_long(self) -> None:
+        """A day of three times the length has troubles in each third of it, and replacements where even."""
+        site = day_draw.read(self.site()).unwrap()
+        for seed in range(20):
+            day = day_draw.draw(site, seed, 3)
+            entries = day["plan"] + day["faults"]
+            thirds = [int(told["at"] * 3 / day["length_s"]) for told in entries]
+            self.assertThat(set(thirds), Equals({0, 1, 2}))
+            replaced = [told for told in entries if told["kind"] == "replace_core"]
+            self.assertThat(len(replaced) >= 6, Equals(seed % 2 == 0))
+
     def test_pairs(self) -> None:
         """Each two of the five points meet within the time that makes them one trouble."""
         days = [day for day in self.days() if day["name"].startswith("paired")]
