An answer proves something by its id alone; a table of what each ending proves

Cause: Wire.read believed 421 and X-Not-Run before it compared X-Try-Id, so a surplus answer in the place of the next one called a POST that had arrived turned away: it could be sent again, or be answered 503. The pool of connections also kept what came on an idle one as the answer to the next request. Change: the id first; connections in kept.py close where bytes come unasked, drop one surplus answer of a kept connection and wait for the one behind it, and rest no longer than the machine tells. verdict.py holds the tables (how it ended x what had gone out x kind). A long answer on its way is ended by no answer of a second machine. A request without an id has a connection of its own. Nothing is rounded up past a route's Tmo. Tests: two cases of test_each_ending asserted that an answer without an id proves that nothing ran; they now bear the id, and the same without it must prove nothing.

--- a/pinward/switchboard/call.py
+++ b/pinward/switchboard/call.py
@@ -14,7 +14,9 @@
 
 from pinward.plan.routes import Route
 from pinward.switchboard.lines import Lines, Machine
-from pinward.switchboard.verdict import NEVER_RAN, Ending, Verdict
+from pinward.switchboard.verdict import (
+    BROKEN, LATE, NEVER_RAN, TURNED, Ending, Kind, Verdict, goes_on, own_status,
+)  # fmt: skip
 from pinward.tally.tries import Tries
 from pinward.trial.front import Trial
 
@@ -73,6 +75,8 @@
         self.ran = False  # a send of it may have run
         self.streams = False  # its body is gone once it was sent
         self.sending: list[Send] = []
+        self.passing: Send | None = None  # the one send whose answer is being passed on
+        self.kind = Kind.IDEM if route.repeatable else Kind.ONCE
 
     def move(self, state: State) -> None:
         """The one place where a call changes its state."""
@@ -89,7 +93,8 @@
             return self.reply(lines)
         if left < LEAST_S:
             self.move(State.ENDED)
-            return Reply(504 if self.ran else 503, back_s=None if self.ran else lines.chance.uniform(*BACK_S))
+            back_s = None if self.ran else lines.chance.uniform(*BACK_S)
+            return Reply(LATE if self.ran else TURNED, back_s=back_s)
         machine, new = None, False
         service = lines.services.get(self.service)
         if trial is not None and service is not None:
@@ -104,7 +109,7 @@
             return self.reply(lines)
         if not self.tried and not new and self.hopeless(now, lines, machine):
             self.move(State.ENDED)
-            return Reply(503, back_s=lines.chance.uniform(*BACK_S))
+            return Reply(TURNED, back_s=lines.chance.uniform(*BACK_S))
         return self.send(now, lines, tries, trial, machine, new)
 
     def send(
@@ -127,7 +132,7 @@
         Harm: work done twice, within half of the budget, and only where half of the slots are free.
         """
         first, service = self.sending[0], lines.services.get(self.service)
-        may = self.route.repeatable and not self.streams and len(self.sending) == 1 and service is not None
+        may = self.route.repeatable and not (self.streams or self.passing) and len(self.sending) == 1
         if not may or service is None or len(self.tried) >= self.route.tries:
             return Wait(inf)
         late_s = first.at + BESIDE * max(service.usual_s, lines.expected(now, first.machine)) - now
@@ -152,16 +157,19 @@
     def again(self, now: float, lines: Lines, tries: Tries) -> bool:
         """True where another machine may be tried."""
         last = self.last
-        if last is None or self.streams or len(self.tried) >= self.route.tries:
+        if last is None or self.streams or self.passing or len(self.tried) >= self.route.tries:
             return False
-        if last.verdict is Verdict.RAN and (last.status < 500 or not self.route.repeatable):
-            return False
-        if self.ran and not self.route.repeatable:
+        if not goes_on(last, self.ran, self.kind):
             return False
         service = lines.services.get(self.service)
         useful = service is not None and self.until - now > AGAIN_PART * service.usual_s
         return useful and tries.may(now, lines.fronts)
 
+    def passes_on(self, sending: Send) -> None:
+        """A send's answer has begun to go to the client: from here on it alone counts."""
+        # Symptom: a second machine, asked beside one whose long answer was on its way, ended it midway.
+        self.passing = sending
+
     def ended(self, now: float, lines: Lines, sending: Send, ending: Ending, trial: Trial | None) -> None:
         """A send ended, perhaps after the answer was given: then only what it tells of its machine counts."""
         took = now - sending.at
@@ -172,19 +180,18 @@
             cold = now < sending.machine.warm_at
             goal_s = self.route.goal_s or self.route.timeout_s
             trial.ended(now, sending.trial, self.route.name, ending.status >= 500, took, goal_s, cold)
-        if self.state is State.ENDED:
+        if self.state is State.ENDED or (self.passing is not None and sending is not self.passing):
             return
         whole = ending.verdict is Verdict.RAN and ending.status < 500
         self.last = ending
-        if whole or not self.sending:
+        if whole or not self.sending or self.passing is not None:
             self.move(State.TAKEN)
 
     def reply(self, lines: Lines) -> Reply:
         """The answer where nothing more is sent."""
         self.move(State.ENDED)
-        last = self.last
-        if last is not None and last.verdict is Verdict.RAN:
-            return Reply(last.status, last)
-        if not self.ran:
-            return Reply(503, back_s=lines.chance.uniform(*BACK_S))
-        return Reply(504 if last is not None and last.what == "silent" else 502)
+        status = own_status(self.last, self.ran, self.kind)
+        if status is None and self.last is not None:
+            return Reply(self.last.status, self.last)
+        back_s = lines.chance.uniform(*BACK_S) if status == TURNED else None
+        return Reply(status or BROKEN, back_s=back_s)
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -21,8 +21,9 @@
 from pinward.switchboard.ahead import Line, LineServer, ahead
 from pinward.switchboard.call import Call, Reply, Send, Wait
 from pinward.switchboard.lines import Lines
-from pinward.switchboard.stream import Sink
-from pinward.switchboard.verdict import Ending, Verdict
+from pinward.switchboard.stream import Outlet, Sink
+from pinward.switchboard.verdict import End, ended
+from pinward.switchboard.kept import ID
 from pinward.switchboard.wire import DEADLINE, NOT_RUN, WANT, Wire, passed_on
 from pinward.tally.tries import Tries
 from pinward.trial.front import Trial
@@ -268,14 +269,14 @@
         headers[WANT] = entry.iid
         url = f"http://{entry.where[0]}:{entry.where[1]}{request.raw_path}"
         fresh = self.now() < step.machine.shaky_until and request.method not in ("GET", "HEAD")
+        fresh = fresh or ID not in headers  # by what else could its answer be known
         assert self.wire is not None
-        ending = Ending(Verdict.MAY_HAVE_RUN, "ended with its front")
+        ending, outlet = ended(End.ABANDONED), Outlet(sink, lambda: call.passes_on(step))
         try:
-            ending = await self.wire.send(request.method, url, headers, body, step.allow_s, fresh, sink)
+            ending = await self.wire.send(request.method, url, headers, body, step.allow_s, fresh, outlet)
         finally:
-            call.streams = call.streams or sink.opened
             call.ended(self.now(), self.lines, step, ending, trial)
-        if ending.what in ("another's", "spoilt", "cut"):
+        if ending.what in (End.ANOTHERS, End.SPOILT, End.CUT):
             ring(310, iid=entry.iid, what=ending.what)
 
     async def answer(self, sink: Sink, reply: Reply) -> StreamResponse:
--- /dev/null
+++ b/pinward/switchboard/kept.py
@@ -0,0 +1,115 @@
+"""Connections to machines, kept for further requests only where nothing odd was seen on them.
+
+aiohttp's pool hands out any connection that is up: bytes that came while it was idle are then the answer to
+the next request. Here an answer is taken only where one is asked for, and one that bears another request's id
+is dropped, once: the answer that was asked for comes behind it.
+"""
+
+from __future__ import annotations
+
+from functools import partial
+from time import monotonic
+from typing import Any, cast
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.client_reqrep import ClientRequest, ConnectionKey
+from aiohttp.connector import Connection
+
+REST_S = 4.0  # s that an idle connection is kept, where the machine tells no less
+REST_PART = 0.7  # of the time the machine tells: its close and our next request would cross
+ID, KEEP = "X-Try-Id", "Keep-Alive"
+
+
+class NothingSentError(aiohttp.ClientConnectionError):
+    """The connection was gone before a byte of the request was written."""
+
+
+def rest_of(told: str | None) -> float:
+    """Seconds that a connection may rest by a machine's `Keep-Alive: timeout=N`."""
+    for word in (told or "").split(","):
+        name, _, value = word.strip().partition("=")
+        if name.lower() == "timeout" and value.isdecimal():
+            return min(REST_S, REST_PART * int(value))
+    return REST_S
+
+
+class Channel(ResponseHandler):
+    """One connection to a machine."""
+
+    asked = False  # a request is under way on it
+    asked_id: str | None = None
+    dropped = False  # no answer to another request is dropped any more
+    served = False  # an earlier request was answered on it
+    rest_s, since = REST_S, 0.0  # how long it may be idle, and since when it is
+
+    def asks(self, id_: str | None) -> None:
+        """From here on an answer is awaited."""
+        self.asked, self.asked_id, self.dropped = True, id_, not self.served
+
+    def rests(self) -> None:
+        """From here on none is: what comes belongs to no request."""
+        self.asked, self.served, self.since = False, True, monotonic()
+
+    @property
+    def usable(self) -> bool:
+        """True where a request may go out on it."""
+        return not self._buffer and monotonic() - self.since <= self.rest_s
+
+    def data_received(self, data: bytes) -> None:
+        if data and not self.asked:  # without data aiohttp goes on with what it holds back
+            # Symptom: a surplus answer that came while idle stood in the place of the next request's.
+            # Harm: a request that may run once was lost, as nobody can tell whether it ran.
+            self.close()
+            return
+        super().data_received(data)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Takes a whole head, with its body to come."""
+        message = data[0]
+        headers = message.headers
+        if not self.asked:
+            self.close()  # it came behind the end of an answer, in one segment with it
+            return
+        if message.code >= 200:
+            told = headers.getall(ID, ())
+            if self.asked_id is not None and told and self.asked_id not in told and not self.dropped:
+                # One surplus answer may come in the place of the next: the one asked for is behind it.
+                self.dropped = True
+                self.force_close()
+                return
+            if KEEP in headers:
+                self.rest_s = rest_of(headers[KEEP])
+        super().feed_data(data, size)
+
+
+class Channels(aiohttp.TCPConnector):
+    """The pool of connections to machines; with `kept` false each send has one of its own."""
+
+    def __init__(self, kept: bool) -> None:
+        more: dict[str, Any] = {"keepalive_timeout": REST_S} if kept else {"force_close": True}
+        super().__init__(limit=0, use_dns_cache=False, **more)
+        self._factory = cast("partial[ResponseHandler]", partial(Channel, loop=self._loop))
+
+    async def connect(self, req: ClientRequest, traces: Any, timeout: aiohttp.ClientTimeout) -> Connection:
+        """A connection on which nothing was written yet; raises NothingSentError where it is gone."""
+        made = await super().connect(req, traces=traces, timeout=timeout)
+        channel = made.protocol
+        if not isinstance(channel, Channel) or not channel.is_connected():
+            made.close()
+            raise NothingSentError("the connection was reset as it came up")
+        channel.asks(req.headers.get(ID))
+        return made
+
+    async def _get(self, key: ConnectionKey, traces: Any) -> Connection | None:
+        while (found := await super()._get(key, traces)) is not None:
+            channel = found.protocol
+            if isinstance(channel, Channel) and channel.usable:
+                return found
+            found.close()
+        return None
+
+    def _release(self, key: ConnectionKey, protocol: ResponseHandler, *, should_close: bool = False) -> None:
+        if isinstance(protocol, Channel):
+            protocol.rests()
+        super()._release(key, protocol, should_close=should_close)
--- a/pinward/switchboard/stream.py
+++ b/pinward/switchboard/stream.py
@@ -2,12 +2,27 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import StreamResponse
 
 
+class Outlet:
+    """One send's way into a request's sink; `opens` is told once its answer begins to be passed on."""
+
+    def __init__(self, sink: Sink, opens: Callable[[], None]) -> None:
+        self.sink, self.opens, self.write = sink, opens, sink.write
+
+    async def open(self, status: int, headers: Any, length: int | None) -> bool:
+        if not self.sink.free:
+            return False
+        self.opens()
+        await self.sink.open(status, headers, length)
+        return True
+
+
 class Sink:
     """Where one request's answer may be passed on to before it is whole. Opened once, by one send."""
 
@@ -20,10 +35,13 @@
     def opened(self) -> bool:
         return self.response is not None
 
-    async def open(self, status: int, headers: Any, length: int | None) -> bool:
-        """Begins the answer; False where it is not this request's turn or another send has begun."""
-        if not self.may or self.opened:
-            return False
+    @property
+    def free(self) -> bool:
+        """False where it is not this request's turn or another send has begun."""
+        return self.may and not self.opened
+
+    async def open(self, status: int, headers: Any, length: int | None) -> None:
+        """Begins the answer."""
         response = self.response = StreamResponse(status=status, headers=headers)
         if length is not None:
             response.content_length = length
@@ -33,7 +51,6 @@
             await response.prepare(self.request)
         except ConnectionError:
             self.gone = True
-        return True
 
     async def write(self, part: bytes) -> None:
         """Passes a part on; waits where the client is slow. The rest is read all the same where it left."""
--- a/pinward/switchboard/wire.py
+++ b/pinward/switchboard/wire.py
@@ -8,20 +8,23 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
+from math import inf
 from typing import Any
 
 import aiohttp
 from multidict import CIMultiDict
 from yarl import URL
 
-from pinward.switchboard.stream import Sink
-from pinward.switchboard.verdict import Ending, Verdict
+from pinward.switchboard.kept import ID, Channels, NothingSentError
+from pinward.switchboard.stream import Outlet
+from pinward.switchboard.verdict import End, Ending, Sent, ended
 
 CONNECT_S = (
     0.35  # s for a connection to a machine to come up: hundreds of round trips, a lost packet costs more
 )
-REST_S = 4.0  # s that an idle connection is kept; machines close theirs later
+REST_OF_TURNED_S = 0.05  # s that a turned-away answer's body is waited for: its connection can be kept
 HELD_MOST = 256 * 1024  # bytes of an answer held, so that it is whole before it is passed on
 BODY_MOST = 8 * 2**20  # bytes of one that cannot be passed on yet: it was asked for ahead
 AUTO = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -31,26 +34,32 @@
         "proxy-authenticate", "proxy-authorization", "content-length",
     )
 )  # fmt: skip
-ID, DEADLINE, WANT, STAMP, LOAD, NOT_RUN = (
-    "X-Try-Id", "X-Deadline-Ms", "X-Want-Machine", "X-Stamp", "X-Load", "X-Not-Run"
-)  # fmt: skip
+DEADLINE, WANT, STAMP, LOAD, NOT_RUN = "X-Deadline-Ms", "X-Want-Machine", "X-Stamp", "X-Load", "X-Not-Run"
 
 
 def client(kept: bool) -> aiohttp.ClientSession:
     """A session whose connections are kept, or one with a connection of its own for each send."""
-    connector = (
-        aiohttp.TCPConnector(limit=0, use_dns_cache=False, keepalive_timeout=REST_S)
-        if kept
-        else aiohttp.TCPConnector(limit=0, use_dns_cache=False, force_close=True)
-    )
     made = aiohttp.ClientSession(
-        connector=connector, cookie_jar=aiohttp.DummyCookieJar(), trust_env=False, auto_decompress=False,
+        connector=Channels(kept), cookie_jar=aiohttp.DummyCookieJar(), trust_env=False, auto_decompress=False,
         skip_auto_headers=AUTO,
     )  # fmt: skip
     made._retry_connection = False  # it would send again what may have run
     return made
 
 
+def time_out(allow_s: float) -> aiohttp.ClientTimeout:
+    """So long for all of a send, to the moment."""
+    # aiohttp rounds what is longer than five seconds up to the next whole one: held past the route's Tmo.
+    return aiohttp.ClientTimeout(total=allow_s, sock_connect=min(CONNECT_S, allow_s), ceil_threshold=inf)
+
+
+def has_end(answer: aiohttp.ClientResponse) -> bool:
+    """True where an answer tells where it ends. One that ends with its connection looks whole though cut."""
+    if answer.method == "HEAD" or answer.status in (204, 304):
+        return True
+    return answer.content_length is not None or "Transfer-Encoding" in answer.headers
+
+
 def passed_on(headers: Any) -> CIMultiDict[str]:
     """The headers of a message, without those that concern one connection only."""
     named = {word.strip().lower() for value in headers.getall("Connection", ()) for word in value.split(",")}
@@ -77,44 +86,50 @@
 
     async def send(
         self, method: str, url: str, headers: CIMultiDict[str], body: bytes | AsyncIterator[bytes] | None,
-        allow_s: float, fresh: bool, sink: Sink | None = None,
+        allow_s: float, fresh: bool, sink: Outlet | None = None,
     ) -> Ending:  # fmt: skip
         """One request to one machine; never raises but on cancellation. A long answer goes into `sink`."""
         session = self.single if fresh else self.kept
-        timeout = aiohttp.ClientTimeout(total=allow_s, sock_connect=min(CONNECT_S, allow_s))
+        asked = headers.get(ID)
         try:
             async with session.request(
                 method, URL(url, encoded=True), headers=headers, data=body or None, allow_redirects=False,
-                timeout=timeout,
+                timeout=time_out(allow_s),
             ) as answer:  # fmt: skip
-                return await self.read(answer, headers.get(ID), sink)
-        except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError):
-            return Ending(Verdict.NOT_SENT, "refused")
+                return await self.read(answer, asked, sink)
+        except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError, NothingSentError):
+            return ended(End.REFUSED, Sent.NOTHING)
         except TimeoutError:
-            return Ending(Verdict.MAY_HAVE_RUN, "silent")
+            return ended(End.SILENT)
         except aiohttp.ClientPayloadError:
-            return Ending(Verdict.MAY_HAVE_RUN, "cut")
+            return ended(End.CUT)
         except (aiohttp.ClientResponseError, ValueError):
-            return Ending(Verdict.MAY_HAVE_RUN, "spoilt")
+            return ended(End.SPOILT)
         except (OSError, aiohttp.ClientError):
-            return Ending(Verdict.MAY_HAVE_RUN, "reset")
+            return ended(End.RESET)
 
-    async def read(self, answer: aiohttp.ClientResponse, asked: str | None, sink: Sink | None) -> Ending:
-        told = answer.headers
+    async def read(self, answer: aiohttp.ClientResponse, asked: str | None, sink: Outlet | None) -> Ending:
+        told, status = answer.headers, answer.status
+        if not self.answers(answer, asked):
+            answer.close()
+            return ended(End.ANOTHERS)
         load = load_of(told.get(LOAD))
-        if answer.status == 421 or NOT_RUN in told:
-            await answer.read()
-            return Ending(Verdict.TURNED_AWAY, "turned away", answer.status, load=load)
-        if told.get(ID) != asked or (answer.status < 300 and STAMP not in told):
+        if status == 421 or (status >= 400 and NOT_RUN in told):
+            await self.let_end(answer)
+            return ended(End.TURNED_AWAY, status=status, load=load)
+        if status < 200 or NOT_RUN in told or not has_end(answer):
+            answer.close()
+            return ended(End.SPOILT)
+        if status < 300 and STAMP not in told:
             answer.close()
-            return Ending(Verdict.MAY_HAVE_RUN, "another's")
+            return ended(End.ANOTHERS)
         parts: list[bytes] = []
         size, streams = 0, False
         kept = passed_on(told)
         async for part in answer.content.iter_any():
             size += len(part)
             if not streams and size > HELD_MOST and sink is not None:
-                streams = await sink.open(answer.status, kept, answer.content_length)
+                streams = await sink.open(status, kept, answer.content_length)
                 held, parts = parts, []
                 for earlier in held if streams else ():
                     await sink.write(earlier)
@@ -124,7 +139,29 @@
                 continue
             if size > BODY_MOST:
                 answer.close()
-                return Ending(Verdict.MAY_HAVE_RUN, "too long")
+                return ended(End.TOO_LONG)
             parts.append(part)
         body = b"".join(parts)
-        return Ending(Verdict.RAN, "answer", answer.status, list(kept.items()), body, load, streams)
+        return ended(
+            End.ANSWER, status=status, headers=list(kept.items()), body=body, load=load, streamed=streams
+        )
+
+    @staticmethod
+    def answers(answer: aiohttp.ClientResponse, asked: str | None) -> bool:
+        """True where an answer bears the id of the request, once. One without an id has a connection of its
+        own, and so has its answer none.
+        """
+        told = answer.headers.getall(ID, ())
+        return list(told) == ([] if asked is None else [asked])
+
+    @staticmethod
+    async def let_end(answer: aiohttp.ClientResponse) -> None:
+        """Reads the rest of an answer whose head says all, to keep its connection; else ends it."""
+        if answer.content.at_eof():
+            return
+        try:
+            async with asyncio.timeout(REST_OF_TURNED_S):
+                async for _ in answer.content.iter_any():
+                    pass
+        except (TimeoutError, OSError, aiohttp.ClientError):
+            answer.close()
--- a/standin/gateway_rig.py
+++ b/standin/gateway_rig.py
@@ -47,7 +47,8 @@
         if request.path == "/hc":
             return web.Response(headers={"X-Machine": self.iid})
         if request.headers.get("X-Want-Machine", self.iid) != self.iid:
-            return web.Response(status=421, headers={"X-Machine": self.iid})
+            told = {"X-Machine": self.iid, "X-Try-Id": request.headers.get("X-Try-Id", "")}
+            return web.Response(status=421, headers=told)
         self.ran += 1
         headers = {"X-Try-Id": request.headers.get("X-Try-Id", ""), "X-Stamp": f"{self.iid}.{self.ran}"}
         headers["X-Load"] = "0,0,6"
--- a/standin/works.py
+++ b/standin/works.py
@@ -15,7 +15,8 @@
 
 from pinward.directory.entry import Standing
 from pinward.switchboard.verdict import Ending, Verdict
-from pinward.switchboard.wire import CONNECT_S, DEADLINE, ID, REST_S, WANT
+from pinward.switchboard.kept import ID, REST_S
+from pinward.switchboard.wire import CONNECT_S, DEADLINE, WANT
 
 HOST, PREFIX = "day.example", "/{}/"
 BAD = ("errors", "slow", "late", "under_load", "one_route")  # how a build may be bad
--- a/tests/test_gateway_wire.py
+++ b/tests/test_gateway_wire.py
@@ -86,15 +86,25 @@
             (b"no answer at all\r\n\r\n", Verdict.MAY_HAVE_RUN, "spoilt"),
             (b"", Verdict.MAY_HAVE_RUN, "reset"),
             (
-                b"HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+                b"HTTP/1.1 503 No\r\nX-Try-Id: 7\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
                 Verdict.TURNED_AWAY,
                 "turned away",
             ),
             (
-                b"HTTP/1.1 421 No\r\nX-Machine: i\r\nContent-Length: 0\r\n\r\n",
+                b"HTTP/1.1 421 No\r\nX-Try-Id: 7\r\nX-Machine: i\r\nContent-Length: 0\r\n\r\n",
                 Verdict.TURNED_AWAY,
                 "turned away",
             ),
+            (
+                b"HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+                Verdict.MAY_HAVE_RUN,
+                "another's",
+            ),
+            (
+                b"HTTP/1.1 421 No\r\nX-Machine: i\r\nContent-Length: 0\r\n\r\n",
+                Verdict.MAY_HAVE_RUN,
+                "another's",
+            ),
         ):
             endings, _ = self.send(text)
             self.assertThat((endings[0].verdict, endings[0].what), Equals((verdict, what)), repr(text))
