--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -18,12 +18,12 @@
 
 from pinward.annunciator import ring
 from pinward.plan.boot import Boot, Watched
-from pinward.switchboard.ahead import Line, LineServer, ahead
+from pinward.switchboard.ahead import READ_AT, Line, LineServer, ahead
 from pinward.switchboard.call import Call, Reply, Send, Wait
 from pinward.switchboard.lines import Lines
 from pinward.switchboard.stream import Outlet, Sink
-from pinward.switchboard.verdict import End, ended
 from pinward.switchboard.kept import ID
+from pinward.switchboard.verdict import BROKEN, End, ended
 from pinward.switchboard.wire import DEADLINE, NOT_RUN, WANT, Wire, passed_on
 from pinward.tally.tries import Tries
 from pinward.trial.front import Trial
@@ -145,6 +145,14 @@
 
     # Requests.
 
+    def able(self, message: Any) -> bool:
+        """True where a request may be begun before its turn: its route lets it run again."""
+        plan = self.known.plan
+        if plan is None:
+            return False
+        route = plan.route(message.headers.get("Host", ""), message.path.partition("?")[0])
+        return route is not None and route.repeatable
+
     async def on_ready(self, request: BaseRequest) -> Response:
         return Response(status=200 if self.ready else 503)
 
@@ -173,8 +181,9 @@
             self.open -= 1
 
     async def serve(self, request: BaseRequest) -> StreamResponse:
-        now, plan = self.now(), self.known.plan
-        headers = request.headers
+        plan, headers = self.known.plan, request.headers
+        read_at = request.get(READ_AT)  # the time a request waits behind another counts too
+        now = self.now() if read_at is None else read_at
         if plan is None:
             return self.own(503, UNKNOWN_S)
         raw = request.raw_path
@@ -190,14 +199,16 @@
         if headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         body: bytes | AsyncIterator[bytes] = b""
-        streams = False
+        call = Call(route, route.service(self.chance), now, allow_s)
         if request.body_exists:
             size = request.content_length or 0
             if size > plan.body_bytes:
                 return self.last(413)
-            body, streams = await self.body(request)
-        call = Call(route, route.service(self.chance), now, allow_s)
-        call.streams = streams
+            try:
+                async with asyncio.timeout(call.until - now):
+                    body, call.streams = await self.body(request)
+            except TimeoutError:
+                return self.last(408)  # nothing was sent on; a body that never ends held its place for ever
         return await self.put_through(request, call, body)
 
     async def body(self, request: BaseRequest) -> tuple[bytes | AsyncIterator[bytes], bool]:
@@ -232,6 +243,8 @@
         sends: set[asyncio.Task[None]] = set()
         sink = Sink(request, not ahead(request))
         while True:
+            if call.tried and request.transport is None:
+                return self.own(BROKEN)  # its client is gone: no further machine works for nobody
             now, trial = self.now(), self.trials.get(name)
             step = call.next(now, self.lines, tries, trial)
             if isinstance(step, Reply):
@@ -312,6 +325,7 @@
         server = self.server = LineServer(
             self.on_request,
             lambda: not self.leaving,
+            self.able,
             access_log=None,
             max_line_size=HEAD_MOST,
             max_field_size=HEAD_MOST,
--- a/pinward/switchboard/wire.py
+++ b/pinward/switchboard/wire.py
@@ -57,7 +57,8 @@
     """True where an answer tells where it ends. One that ends with its connection looks whole though cut."""
     if answer.method == "HEAD" or answer.status in (204, 304):
         return True
-    return answer.content_length is not None or "Transfer-Encoding" in answer.headers
+    coding = answer.headers.get("Transfer-Encoding", "")
+    return answer.content_length is not None or coding.lower().rpartition(",")[2].strip() == "chunked"
 
 
 def passed_on(headers: Any) -> CIMultiDict[str]:
--- a/standin/faulty_machine.py
+++ b/standin/faulty_machine.py
@@ -42,8 +42,6 @@
     parts: tuple[bytes, ...] = ()  # written one after another, each in a segment of its own
     then: Then = Then.KEPT
     gate: asyncio.Event | None = None  # waited for before it writes
-    later: tuple[bytes, ...] = ()  # written once `again` is set, on the idle connection
-    again: asyncio.Event | None = None
 
 
 def answered(id_: str | None = "7", status: int = 200, body: bytes = b"ok", *more: str) -> bytes:
@@ -72,16 +70,16 @@
     heads: list[bytes] = field(default_factory=list)
     bodies: list[bytes] = field(default_factory=list)  # of requests whose body was read whole
     opened: int = 0
-    port: int = 0
+    arrived: asyncio.Event = field(default_factory=asyncio.Event)  # a head was read
 
     @classmethod
     def of(cls, acts: Iterable[Act | bytes]) -> FaultyMachine:
         return cls([Act(parts=(act,)) if isinstance(act, bytes) else act for act in acts])
 
     async def start(self) -> int:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = int(self.server.sockets[0].getsockname()[1])
-        return self.port
+        """Begins to listen, at one more port each time; the acts are shared. Returns the port."""
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=2**24)
+        return int(server.sockets[0].getsockname()[1])
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.opened += 1
@@ -109,9 +107,6 @@
             await writer.drain()
             for _ in range(4):  # the caller reads each part by itself
                 await asyncio.sleep(0)
-        if act.again is not None:
-            await act.again.wait()
-            writer.writelines(act.later)
         if act.then is Then.RESET:
             writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
             writer.transport.abort()
@@ -126,6 +121,7 @@
             return
         head = await reader.readuntil(b"\r\n\r\n")
         self.heads.append(head)
+        self.arrived.set()
         if much is Read.HEAD:
             return
         size = 0
--- a/tests/test_gateway_wire.py
+++ b/tests/test_gateway_wire.py
@@ -201,8 +201,8 @@
         self.assertThat(answer, StartsWith(b"HTTP/1.1 200 OK\r\n"))
         self.assertThat(answer.lower(), Contains(b"connection: close\r\n"))
 
-    async def board(self, port: int) -> tuple[Switchboard, asyncio.Event, asyncio.Future[None]]:
-        """A switchboard that serves, has one machine at that port, and leaves without delay."""
+    async def board(self, *ports: int) -> tuple[Switchboard, asyncio.Event, asyncio.Future[None]]:
+        """A switchboard that serves, has a machine at each port, and leaves without delay."""
         boot = boot_of(Settings.TOLD).unwrap()
         boot = replace(
             boot, bind={"Up": ("127.0.0.1", 0), "Edge": ("127.0.62.9", 18641)}, peers=(("127.0.62.9", 1),),
@@ -210,8 +210,9 @@
         )  # fmt: skip
         board, stop = Switchboard(boot), asyncio.Event()
         board.known.plan = plan_of(json.dumps(plan(1))).unwrap()
-        life = Entry("i1", "toy", ("127.0.0.1", port), "here", "v1", 6, Standing.UP, 1)
-        board.known.book.merge(0.0, "", {}, [[life.plain(), "m", "l", 1]])
+        for number, port in enumerate(ports, 1):
+            life = Entry(f"i{number}", "toy", ("127.0.0.1", port), "here", "v1", 6, Standing.UP, 1)
+            board.known.book.merge(0.0, "", {}, [[life.plain(), "m", "l", number]])
         board.known.fresh = True
         running = asyncio.ensure_future(board.run(stop))
         await asyncio.sleep(0)
