--- a/standin/day_hunt.py
+++ b/standin/day_hunt.py
@@ -78,8 +78,9 @@
         run = subprocess.Popen(words, stdout=out, stderr=subprocess.STDOUT, start_new_session=True)
         try:
             status = run.wait(timeout=limit_s)
-            gate, broken, why = weigh(json.loads(report.read_text()))
-            score = float(json.loads(report.read_text())["G"])
+            told = json.loads(report.read_text())
+            gate, broken, why = weigh(told)
+            score = float(told["G"] or 0.0)  # none where a day has a fault
         except subprocess.TimeoutExpired:
             end(run)
             gate, broken, why, score = "not played", "", f"given up after {limit_s:.0f} s", 0.0
