--- a/standin/exchange_day.py
+++ b/standin/exchange_day.py
@@ -236,6 +236,13 @@
             self.first = False
         asyncio.get_running_loop().call_later(down_s + START_S, self.start, ip)
 
+    def freeze(self, ip: str, for_s: float) -> None:
+        """Stops a process amid whatever it does; its machine's sockets and clock go on."""
+        process = self.hosts[ip][0]
+        process.freeze()
+        self.saw("freeze", ip=ip)
+        asyncio.get_running_loop().call_later(for_s, process.thaw)
+
     def primary(self) -> str | None:
         """The exchange that leads, by its own word; for troubles that aim at it."""
         for ip in self.core_ips:
--- a/standin/virtual.py
+++ b/standin/virtual.py
@@ -11,14 +11,16 @@
 import selectors
 from collections import deque
 from collections.abc import Awaitable, Callable, Coroutine
-from contextvars import ContextVar
+from contextvars import Context, ContextVar
 from random import Random
-from typing import Any
+from typing import Any, TypeVarTuple
 
 import aiohttp
 
 from pinward.trunk.link import CONNECT_S, SILENT_S, Dialler
 
+Some = TypeVarTuple("Some")
+
 LEAST_S = 1e-8  # s by which the clock goes on at each look: waits as short as its rounding end
 
 OWNER: ContextVar[Process | None] = ContextVar("owner", default=None)
@@ -51,6 +53,34 @@
     def time(self) -> float:
         return self.at
 
+    # What a frozen process would do waits: its sockets take bytes, its clock goes on.
+
+    def call_soon(
+        self, callback: Callable[[*Some], object], *args: *Some, context: Context | None = None
+    ) -> asyncio.Handle:
+        owner = OWNER.get() if context is None else context.get(OWNER)
+        if owner is not None and owner.frozen:
+            handle = asyncio.Handle(callback, args, self, context)
+            owner.waits.append(handle)
+            return handle
+        return super().call_soon(callback, *args, context=context)
+
+    def call_at(
+        self, when: float, callback: Callable[[*Some], object], *args: *Some,
+        context: Context | None = None,
+    ) -> asyncio.TimerHandle:  # fmt: skip
+        owner = OWNER.get() if context is None else context.get(OWNER)
+        if owner is None:
+            return super().call_at(when, callback, *args, context=context)
+        return super().call_at(when, self.due, owner, callback, args, context)
+
+    def due(self, owner: Process, callback: Any, args: tuple[Any, ...], context: Context | None) -> None:
+        """A timer of a process is due."""
+        if owner.frozen:
+            owner.timers.append(asyncio.Handle(callback, args, self, context))
+        else:
+            callback(*args)
+
 
 def owned(loop: asyncio.AbstractEventLoop, work: Any, **more: Any) -> asyncio.Task[Any]:
     """Each task belongs to the process in which it began, and ends with it."""
@@ -82,6 +112,9 @@
     def __init__(self, net: Net, ip: str) -> None:
         self.net, self.ip, self.alive = net, ip, True
         self.tasks: set[asyncio.Task[Any]] = set()
+        self.frozen = False
+        self.waits: list[asyncio.Handle] = []  # what would have run while it was frozen
+        self.timers: list[asyncio.Handle] = []  # which of them were timers
         self.attend: dict[str, Callable[[Any], Awaitable[None]]] = {}
         net.processes[ip] = self
 
@@ -97,9 +130,23 @@
         task: asyncio.Task[Any] = self.run(lambda: asyncio.ensure_future(work))
         return task
 
+    def freeze(self) -> None:
+        self.frozen = True
+
+    def thaw(self) -> None:
+        """Goes on with all that came meanwhile: from sockets in any order, then timers, as a loop does."""
+        self.frozen = False
+        self.net.chance(self.ip, "thaw").shuffle(self.waits)
+        waits, self.waits, self.timers = [*self.waits, *self.timers], [], []
+        for handle in waits:
+            if not handle.cancelled() and self.alive:
+                asyncio.get_running_loop().call_soon(handle._run)
+
     def kill(self, power: bool = False) -> None:
         """Ends the process: peers see their connections reset, or nothing where the power is gone too."""
-        self.alive = False
+        self.alive, self.frozen = False, False
+        self.waits.clear()
+        self.timers.clear()
         if self.net.processes.get(self.ip) is self:
             del self.net.processes[self.ip]
         if power:
