One number, one winner; a repeat is never refused; calls passed on end with their caller

Causes, each with its test, seen to fail before: - `put_plan` answered 200 to any body whose version was not above the one in force, so the loser of a race was confirmed. State kept without a digest is read on. - `call` words carried no time and no epoch: what waited in a link was carried out once it healed, after its caller had been told 503. They carry the time left, the primary's own clock as its beats told it, the epoch and the life (exchange/forward.py); each is carried out once, in time, under its epoch, or not at all. - A repeat of an ended order after a newer one started it anew, and was a 409 beside one under way. An order keeps those before it for `Ack` and 3 s; how long ago each was acknowledged is told by the steady clock of the machine that heard of it. - A control front without a primary let each operator wait for 0.9 s. After 0.6 s without fresh news it says 503 at once; the others wait out a takeover.

--- a/pinward/command/gateway.py
+++ b/pinward/command/gateway.py
@@ -190,6 +190,27 @@
     return int(any(row["over"] or row["broken"] for row in rows))
 
 
+def operators(*, seeds: int = 20, first: int = 0, plant: str = "none", as_json: bool = False) -> int:
+    """Plays operators that race, lose answers and repeat, in simulated time, and judges all that they saw.
+
+    Exit 0 where nothing broke, or a planted error was found; else 1.
+
+    :param seeds: days of each sort of trouble
+    :param first: the first seed
+    :param plant: an error to plant: by-number, refused, again, late or unconfirmed
+    :param as_json: prints JSON
+    """
+    found = stand_in("operators")
+    if found is None:
+        return 1
+    if plant not in ("none", *found.PLANTS):
+        print(f"pinward: plant: must be one of none, {', '.join(found.PLANTS)}, not {plant}", file=sys.stderr)
+        return 2
+    rows = found.drill(seeds, first, plant)
+    table(rows, as_json)
+    return int(any(row["broken"] for row in rows) != (plant != "none"))
+
+
 def news(*, fronts: int = 12, machines: int = 40, routes: int = 350, as_json: bool = False) -> int:
     """Counts the bytes that exchanges tell a front: at rest, for a drain, for a configuration.
 
@@ -296,7 +317,7 @@
 
 def run(words: list[str]) -> int:
     """Runs the words after `pinward gateway`; the exit status."""
-    calls = (check, show, rolls, events, drill, news, trials, load, model, day)
+    calls = (check, show, rolls, events, drill, operators, news, trials, load, model, day)
     names = {word.__name__.replace("_", "-"): word for word in calls}
     done: Any = defopt.run(names, argv=words, short={}, argparse_kwargs={"prog": "pinward gateway"})
     return int(done)
--- a/pinward/exchange/answers.py
+++ b/pinward/exchange/answers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+from dataclasses import replace
 from typing import Any
 
 from aiohttp.web_request import BaseRequest
@@ -13,15 +14,23 @@
 from pinward.annunciator import ring
 from pinward.directory.entry import Standing
 from pinward.directory.sanctioned import earlier
-from pinward.exchange.calls import Call, checked, entry_of, find
+from pinward.exchange.calls import Call, checked, entry_of, find, signed
+from pinward.exchange.forward import Fate, Incoming, Outgoing
 from pinward.exchange.parts import PLAN, ROLL, TICK_S, Parts
 from pinward.plan.schema import plan_of
-from pinward.trial.order import Order, Stage
+from pinward.trial.order import Earlier, Order, Stage
 
 CALL_S = 0.9  # s for an answer to an operator, who goes elsewhere after one
 TOLD_S = 0.6  # s for another control front to hold that a machine leaves; it calls elsewhere after one
 ALONE_S = 1.2  # s without a primary until beats are sent elsewhere: what is told here reaches nobody
+WAIT_S = 0.6  # s without a primary in which a call waits for the next: 1.5 s after its last beat in all
 SOON_S = 0.01  # s between looks at a write that is under way
+LATE_S = 3.0  # s beyond `Ack` in which a repeat may come: a second on its way, the call's own time, `MARK_S`
+MARK_S = 1.0  # s after which an order acknowledged again is dated anew, for its repeats
+PAST_MOST = 16  # orders of a service remembered: each must end before the next, so few fit into `Ack`
+
+UNDONE = "nothing was done: no primary answers"
+UNCLEAR = "whether it was done is not known: send it again unchanged"
 
 Answer = tuple[int, str]
 
@@ -31,11 +40,15 @@
 
 
 class Answers:
+    """A handler's answer is None where nothing was done, so that the call may be tried again."""
+
     def __init__(self, parts: Parts) -> None:
         self.parts = parts
         self.writes: dict[int, asyncio.Future[bool]] = {}
-        self.calls: dict[str, asyncio.Future[Answer]] = {}
-        self.called = 0
+        self.calls: dict[str, asyncio.Future[Answer | None]] = {}
+        self.outgoing, self.incoming = Outgoing(parts.life), Incoming()
+        self.taken_at: dict[str, dict[int, float]] = {}  # service, order's number: known as taken since then
+        self.repeat_s = parts.boot.bounds.ack_s + LATE_S
 
     def written(self, number: int, held: bool) -> None:
         """A write that began here is over."""
@@ -43,11 +56,27 @@
         if future is not None and not future.done():
             future.set_result(held)
 
-    def replied(self, word: dict[str, Any]) -> None:
-        """The primary answered a call that was passed on."""
-        future = self.calls.pop(word["id"], None)
+    def learn(self, now: float, order: Order) -> None:
+        """An order was taken. How long ago is told by this machine's own clock, which may have heard of it
+        late: a repeat is known for too long then, never for too short a time."""
+        known = self.taken_at.get(order.service, {})
+        numbers = (order.number, *(earlier.number for earlier in order.past))
+        self.taken_at[order.service] = {number: known.get(number, now) for number in numbers}
+
+    def beat_heard(self, now: float, primary: str, epoch: int, at: float) -> None:
+        """The primary's beat. A call passed on under another epoch has no answer any more."""
+        for id_ in self.outgoing.heard(now, primary, epoch, at):
+            self.settle(id_, (503, fault(UNCLEAR)))
+
+    def settle(self, id_: str, answer: Answer | None) -> None:
+        future = self.calls.pop(id_, None)
         if future is not None and not future.done():
-            future.set_result((word["status"], word["body"]))
+            future.set_result(answer)
+
+    def replied(self, peer: str, word: dict[str, Any]) -> None:
+        """The primary answered a call that was passed on; status 0: it did nothing."""
+        if self.outgoing.answered(peer, word):
+            self.settle(word["id"], (word["status"], word["body"]) if word["status"] else None)
 
     async def on_call(self, request: BaseRequest) -> Response:
         found = find(request.method, request.path)
@@ -66,8 +95,12 @@
             status, text = 500, fault("a fault in the program")
         return Response(status=status, text=text, content_type="application/json")
 
-    async def answer(self, call: Call, word: str, body: bytes) -> Answer:
-        said = checked(call, body)
+    async def answer(self, call: Call, word: str, data: bytes) -> Answer:
+        try:
+            body = data.decode()
+        except UnicodeDecodeError as why:
+            return 400, fault(f"the whole: cannot be read: {why}")
+        said = checked(call, data)
         if said.is_err():
             return 400, fault(said.unwrap_err())
         if call.handler == "put_plan":
@@ -79,58 +112,83 @@
             return await getattr(self, call.handler)(word, said.unwrap())
         until = self.parts.now() + CALL_S
         while (left := until - self.parts.now()) > 0:
-            if self.parts.keeper.leads(self.parts.now()):
-                with contextlib.suppress(TimeoutError):
-                    return await asyncio.wait_for(
-                        getattr(self, call.handler)(word, said.unwrap(), body), left
-                    )
-                break
+            answer = None
             primary = self.parts.keeper.primary
-            if primary in self.parts.links and self.parts.links[primary].stands and primary != self.parts.own:
+            if self.parts.keeper.leads(self.parts.now()):
+                answer = await self.carry_out(call, word, said.unwrap(), body, left)
+            elif self.parts.now() - self.parts.fresh_at > WAIT_S:
+                break  # the operator goes elsewhere; a takeover is over sooner
+            elif primary in self.parts.links and self.parts.links[primary].stands:
                 answer = await self.pass_on(primary, call, word, body, left)
-                if answer is not None:
-                    return answer
+            if answer is not None:
+                return answer
             await asyncio.sleep(TICK_S)
-        return 503, fault("no primary answers")
-
-    async def pass_on(self, primary: str, call: Call, word: str, body: bytes, left: float) -> Answer | None:
-        self.called += 1
-        number = f"{self.parts.life}.{self.called}"
-        future = self.calls[number] = asyncio.get_running_loop().create_future()
-        words = {
-            "t": "call",
-            "id": number,
-            "verb": call.verb,
-            "path": f"{call.path}/{word}" if word else call.path,
-        }
-        self.parts.send(primary, {**words, "body": body.decode("utf-8", "replace")})
+        return 503, fault(UNDONE)
+
+    async def carry_out(self, call: Call, word: str, said: Any, body: str, left: float) -> Answer | None:
+        """The primary's answer, shown only where it leads as it is sent; None where nothing was done."""
+        reads = call.verb == "GET"
         try:
-            return await asyncio.wait_for(future, left)
+            handler = getattr(self, call.handler)
+            answer: Answer | None = await asyncio.wait_for(handler(word, said, body), left)
         except TimeoutError:
+            return None if reads else (503, fault(UNCLEAR))
+        if answer is not None and answer[0] < 500 and not self.parts.keeper.leads(self.parts.now()):
+            return None if reads else (503, fault(UNCLEAR))
+        return answer
+
+    async def pass_on(self, primary: str, call: Call, word: str, body: str, left: float) -> Answer | None:
+        """The primary's answer to a call; None where it did nothing or only reads: it may be sent anew."""
+        words = self.outgoing.begin(self.parts.now(), primary, left)
+        if words is None:
             return None
+        id_ = words["id"]
+        future = self.calls[id_] = asyncio.get_running_loop().create_future()
+        path = f"{call.path}/{word}" if word else call.path
+        self.parts.send(primary, {**words, "verb": call.verb, "path": path, "body": body})
+        answer: Answer | None = (503, fault(UNCLEAR))
+        try:
+            answer = await asyncio.wait_for(future, left)
+        except TimeoutError:
+            pass
         finally:
-            self.calls.pop(number, None)
+            self.calls.pop(id_, None)
+            self.outgoing.end(id_)
+        return None if answer is not None and answer[0] == 503 and call.verb == "GET" else answer
 
     async def answer_call(self, peer: str, word: dict[str, Any]) -> None:
         """A call that another control front passes on to the primary."""
-        found = find(word["verb"], word["path"])
-        if isinstance(found, int) or not self.parts.keeper.leads(self.parts.now()):
+        found, now, keeper = find(word["verb"], word["path"]), self.parts.now(), self.parts.keeper
+        if isinstance(found, int):
             return
         call, last = found
-        body = word["body"].encode()
-        said = checked(call, body)
-        if said.is_ok():
-            status, text = await getattr(self, call.handler)(last, said.unwrap(), body)
-            if status != 503:
-                self.parts.send(peer, {"t": "reply", "id": word["id"], "status": status, "body": text})
-
-    async def write(self, key: str, value: Any) -> bool:
+        fate, left = self.incoming.judge(now, keeper.epoch if keeper.leads(now) else None, word)
+        none = {"t": "reply", "id": word["id"], "life": word["life"], "status": 0, "body": ""}
+        reply: dict[str, Any] | None = none
+        if fate in (Fate.OVER, Fate.ELSEWHERE):
+            ring(225, front=peer, path=word["path"], epoch=word["epoch"], left=round(left, 3))
+        if fate is Fate.OVER:
+            return
+        if fate is Fate.AGAIN:
+            reply = self.incoming.reply(word["id"])
+        elif fate is Fate.NEW:
+            said = checked(call, word["body"].encode())
+            answer = None
+            if said.is_ok():
+                answer = await self.carry_out(call, last, said.unwrap(), word["body"], left)
+            if answer is not None:
+                reply = {**none, "status": answer[0], "body": answer[1]}
+            self.incoming.replied(word["id"], reply or none)
+        if reply is not None:
+            self.parts.send(peer, reply)
+
+    async def write(self, key: str, value: Any) -> Answer | None:
         number = self.parts.keeper.propose(self.parts.now(), key, value)
         if number is None:
-            return False
+            return None
         future = self.writes[number] = asyncio.get_running_loop().create_future()
         self.parts.carry()
-        return await future
+        return (200, "{}") if await future else (503, fault(UNCLEAR))
 
     async def beat_call(self, iid: str, said: dict[str, Any]) -> Answer:
         if self.parts.now() - self.parts.fresh_at > ALONE_S:
@@ -171,44 +229,80 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(held.wait(), left)
 
-    async def put_plan(self, _: str, said: Any, body: bytes) -> Answer:
-        version = int(json.loads(body)["Ver"], 16)
+    async def put_plan(self, _: str, said: Any, body: str) -> Answer | None:
+        """One body a number: the one in force is acknowledged again, another under its number refused."""
+        version, digest = signed(body)
         while self.parts.keeper.leads(self.parts.now()):
             public = self.parts.keeper.public.get(PLAN)
-            if public is not None and version <= public[2]["version"]:
-                return 200, "{}"
+            if public is not None and version < public[2]["version"]:
+                return 200, "{}"  # what the page says of a lower one
+            if public is not None and version == public[2]["version"]:
+                if digest == (public[2].get("digest") or signed(public[2]["body"])[1]):
+                    return 200, "{}"
+                ring(212, version=f"{version:08x}", digest=digest)
+                return 409, fault("another configuration is in force under this number")
             held = self.parts.keeper.kept.items.get(PLAN)
             if held is None or version > held[2]["version"]:
-                done = await self.write(PLAN, {"version": version, "body": body.decode()})
-                return (200, "{}") if done else (503, fault("the primary changed"))
+                return await self.write(PLAN, {"version": version, "digest": digest, "body": body})
             await asyncio.sleep(SOON_S)  # one no lower is on its way
-        return 503, fault("the primary changed")
+        return None
 
-    async def get_plan(self, _: str, said: Any, body: bytes) -> Answer:
+    async def get_plan(self, _: str, said: Any, body: str) -> Answer | None:
         plan = self.parts.keeper.public.get(PLAN)
         return (200, plan[2]["body"]) if plan is not None else (404, fault("no configuration yet"))
 
-    async def start_roll(self, _: str, said: dict[str, Any], body: bytes) -> Answer:
-        service, target = said["service"], said["target"]
-        key = ROLL + service
+    def age(self, service: str, number: int) -> float:
+        """For how long an order is known as taken, at least."""
+        now = self.parts.now()
+        return now - self.taken_at.get(service, {}).get(number, now)
+
+    async def start_roll(self, _: str, said: dict[str, Any], body: str) -> Answer | None:
+        service, key = said["service"], ROLL + said["service"]
         while self.parts.keeper.leads(self.parts.now()):
             held, public = self.parts.keeper.kept.items.get(key), self.parts.keeper.public.get(key)
-            if held is not None and (public is None or public[2] != held[2]):
+            if held is not None and (public is None or public[:2] != held[:2]):
                 await asyncio.sleep(SOON_S)  # a change of it is on its way
                 continue
-            order = Order.of(held[2]) if held is not None else None
-            if order is not None and order.target == target:
-                return 200, "{}"
-            if order is not None and order.stage is Stage.SERVING:
-                return 409, fault(f"{order.target} is under way")
-            entries = [line.entry for line in self.parts.book.lines.values() if line.entry.service == service]
-            base = earlier(entries, order, target)
-            fresh = Order(service, target, order.number + 1 if order else 1, base, said["term_s"])
-            done = await self.write(key, fresh.plain())
-            return (200, "{}") if done else (503, fault("the primary changed"))
-        return 503, fault("the primary changed")
-
-    async def get_roll(self, service: str, said: Any, body: bytes) -> Answer:
+            last = Order.of(held[2]) if held is not None else None
+            return await self.judge_roll(key, service, (said["target"], said["term_s"]), last)
+        return None
+
+    async def judge_roll(
+        self, key: str, service: str, asked: tuple[str, float], last: Order | None
+    ) -> Answer | None:
+        """An order beside the last one of its service, of which no change is on its way."""
+        target, term_s = asked
+        if last is None:
+            return await self.write(key, self.fresh_order(service, asked, None, ()).kept())
+        known = last.known()
+        past = tuple(e for e in known if self.age(service, e.number) < self.repeat_s)
+        same = next((e for e in past if (e.target, e.term_s) == asked), None)
+        serving = last.stage is Stage.SERVING
+        if same is not None and self.age(service, same.number) < MARK_S:
+            return 200, "{}"
+        under_way = serving and (last.target, last.term_s) == asked
+        in_force = last.stage is Stage.DONE and last.target == target
+        others = tuple(e for e in past if (e.target, e.term_s) != asked and e.number != last.number)
+        if same is None and not under_way and not in_force:
+            if serving:
+                ring(221, service=service, target=target, under_way=last.target)
+                return 409, fault(f"{last.target} is under way")
+            if len(past) >= PAST_MOST:
+                return 503, fault(f"nothing was done: {len(past)} orders in {self.repeat_s:.0f} s")
+            return await self.write(key, self.fresh_order(service, asked, last, past).kept())
+        # Its repeats may come for as long again as after its first send, and to another primary.
+        ring(222, service=service, target=target, number=last.number)
+        again = Earlier(target, term_s, max(e.number for e in known) + 1)
+        return await self.write(key, replace(last, past=(again, *others[:PAST_MOST])).kept())
+
+    def fresh_order(
+        self, service: str, asked: tuple[str, float], last: Order | None, past: tuple[Earlier, ...]
+    ) -> Order:
+        entries = [line.entry for line in self.parts.book.lines.values() if line.entry.service == service]
+        number = 1 + max((e.number for e in last.known()), default=0) if last is not None else 1
+        return Order(service, asked[0], number, earlier(entries, last, asked[0]), asked[1], past=past)
+
+    async def get_roll(self, service: str, said: Any, body: str) -> Answer | None:
         item = self.parts.keeper.public.get(ROLL + service)
         if item is None:
             return 404, fault("no roll-out of that service")
--- a/pinward/exchange/calls.py
+++ b/pinward/exchange/calls.py
@@ -8,6 +8,7 @@
 
 import json
 from dataclasses import dataclass
+from hashlib import blake2b
 from typing import Any
 
 from marshmallow import EXCLUDE, Schema, ValidationError, fields, validate
@@ -98,6 +99,14 @@
         return Err(f"the whole: cannot be read: {fault}")
 
 
+def signed(body: str) -> tuple[int, str]:
+    """The version of a valid configuration and a digest of what it says: the order of names and the spaces
+    between them do not count."""
+    told = json.loads(body)
+    plain = json.dumps(told, sort_keys=True, separators=(",", ":"))
+    return int(told["Ver"], 16), blake2b(plain.encode(), digest_size=16).hexdigest()
+
+
 def entry_of(iid: str, said: dict[str, Any]) -> Entry:
     """A machine's life from its beat."""
     desc, stat = said["desc"], said["stat"]
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -103,6 +103,7 @@
             ring(
                 220, service=order.service, target=order.target, number=order.number, stage=order.stage.value
             )
+            self.answers.learn(self.now(), order)
             self.tally.learn(self.now(), order)
         self.turn()
 
@@ -198,7 +199,11 @@
             case "call":
                 self.spawn(self.answers.answer_call(peer, word))
             case "reply":
-                self.answers.replied(word)
+                self.answers.replied(peer, word)
+            case "beat":
+                self.keeper.hear(now, peer, word)
+                if self.keeper.primary == peer and word["n"] >= self.keeper.view.epoch:
+                    self.answers.beat_heard(now, peer, word["n"], word["at"])
             case "report":
                 self.report(word["front"], word["reports"])
             case _:
@@ -282,9 +287,9 @@
                 continue
             stage, why = self.tally.verdict(now, order, len(self.desk.fronts))
             held = self.keeper.kept.items.get(ROLL + order.service)
-            if stage is not None and held is not None and held[2] == order.plain():
+            if stage is not None and held is not None and Order.of(held[2]) == order:
                 ring(220, service=order.service, target=order.target, asked=stage.value, why=why)
-                self.keeper.propose(now, ROLL + order.service, order.moved(stage).plain())
+                self.keeper.propose(now, ROLL + order.service, order.moved(stage).kept())
 
     # Life.
 
--- a/pinward/trial/order.py
+++ b/pinward/trial/order.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, replace
 from enum import Enum
-from typing import Any
+from typing import Any, NamedTuple
 
 
 class Stage(Enum):
@@ -18,9 +18,20 @@
 MOVES = {Stage.SERVING: (Stage.DONE, Stage.UNDONE)}
 
 
+class Earlier(NamedTuple):
+    """An order that was acknowledged beside the one in force, or before it: its repeat may still come."""
+
+    target: str
+    term_s: float
+    number: int
+
+
 @dataclass(frozen=True)
 class Order:
-    """`number` rises with each order of a service, `base` is the earlier build, `term_s` the time wanted."""
+    """`number` rises with each order of a service, `base` is the earlier build, `term_s` the time wanted.
+
+    `past` are orders before it, newest first: their repeats are acknowledged and not started again.
+    """
 
     service: str
     target: str
@@ -28,6 +39,7 @@
     base: str
     term_s: float
     stage: Stage = Stage.SERVING
+    past: tuple[Earlier, ...] = ()
 
     def moved(self, stage: Stage) -> Order:
         """The one place where an order changes its phase."""
@@ -36,9 +48,20 @@
         return replace(self, stage=stage)
 
     def plain(self) -> list[Any]:
+        """What fronts are told."""
         return [self.service, self.target, self.number, self.base, self.term_s, self.stage.value]
 
+    def known(self) -> tuple[Earlier, ...]:
+        """All orders whose repeats are known, this one first."""
+        return (Earlier(self.target, self.term_s, self.number), *self.past)
+
+    def kept(self) -> list[Any]:
+        """What the control state holds."""
+        return [*self.plain(), [list(earlier) for earlier in self.past]]
+
     @classmethod
     def of(cls, plain: list[Any]) -> Order:
-        service, target, number, base, term_s, stage = plain
-        return cls(service, target, number, base, term_s, Stage(stage))
+        """An order as told or as kept, also by a build that knew no earlier ones."""
+        service, target, number, base, term_s, stage, *more = plain
+        past = tuple(Earlier(*earlier) for earlier in more[0]) if more else ()
+        return cls(service, target, number, base, term_s, Stage(stage), past)
