--- a/pinward/exchange/answers.py
+++ b/pinward/exchange/answers.py
@@ -64,7 +64,7 @@
         self.taken_at[order.service] = {number: known.get(number, now) for number in numbers}
 
     def beat_heard(self, now: float, primary: str, epoch: int, at: float) -> None:
-        """The primary's beat. A call passed on under another epoch has no answer any more."""
+        """The primary's beat. A call passed on to another machine has no answer any more."""
         for id_ in self.outgoing.heard(now, primary, epoch, at):
             self.settle(id_, (503, fault(UNCLEAR)))
 
--- a/pinward/exchange/forward.py
+++ b/pinward/exchange/forward.py
@@ -41,9 +41,12 @@
         self.open: dict[str, Clock] = {}
 
     def heard(self, now: float, primary: str, epoch: int, at: float) -> list[str]:
-        """A primary's beat; returns the calls whose answer will not come, since another epoch has begun."""
+        """A primary's beat; returns the calls whose answer will not come, since another machine leads.
+
+        One that leads on under a new epoch, since a copy was lost, answers what it had begun.
+        """
         self.clock = Clock(primary, epoch, at, now)
-        return [id_ for id_, clock in self.open.items() if (clock.primary, clock.epoch) != (primary, epoch)]
+        return [id_ for id_, clock in self.open.items() if clock.primary != primary]
 
     def begin(self, now: float, primary: str, left: float) -> Word | None:
         """What a call to the primary says beside its matter; None where its clock is not known."""
