--- a/tests/test_gateway_verdicts.py
+++ b/tests/test_gateway_verdicts.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 from math import inf
+from pathlib import Path
 from typing import Any
 from unittest import mock
 
@@ -21,7 +22,7 @@
 from pinward.switchboard.call import Call, Reply, Send, Wait
 from pinward.switchboard.kept import Channel, rest_of
 from pinward.switchboard.lines import Lines
-from pinward.switchboard.verdict import PROVES, End, Ending, Kind, Sent, Verdict, ended, goes_on
+from pinward.switchboard.verdict import GOES_ON, PROVES, End, Ending, Kind, Sent, Verdict, ended, goes_on
 from pinward.switchboard.wire import Wire, time_out
 from pinward.tally.tries import Tries
 from standin.faulty_machine import Act, FaultyMachine, Read, Then, answered, chunked, turned_away
@@ -246,6 +247,16 @@
                     idem = (1 if whole else 2, 200)
                     self.assertThat(self.play(READ, ending), Equals(idem), f"{end}, {part}, {status}")
 
+    def test_the_page_prints_the_tables(self) -> None:
+        page = Path("docs/design/line.md").read_text()
+        names = {None: "-", **{verdict: verdict.name.lower().replace("_", " ") for verdict in Verdict}}
+        for end, row in PROVES.items():
+            line = " | ".join(names[verdict] for verdict in row.values())
+            self.assertThat(page, Contains(f"| {end} | {line} |"))
+        for (verdict, failed), kinds in GOES_ON.items():
+            told = " | ".join("yes" if may else "no" for may in kinds.values())
+            self.assertThat(page, Contains(f"| {names[verdict]}{', 5xx' if failed else ''} | {told} |"))
+
     def test_nothing_ends_an_answer_that_is_on_its_way(self) -> None:
         for passing in (0, 1):
             lines, tries = Lines("a", 1), Tries(boot_of(Settings.TOLD).unwrap().bounds)
@@ -365,4 +376,5 @@
                 await asyncio.sleep(0)
 
         act = Act(then=Then.RESET, gate=gate)
-        self.assertThat(len(self.ask(self.GET % 900 + b"\r\n", act, answered(), work=leaves)[1].heads), Equals(1))
+        machine = self.ask(self.GET % 900 + b"\r\n", act, answered(), work=leaves)[1]
+        self.assertThat(len(machine.heads), Equals(1))
