--- a/standin/exchange_day.py
+++ b/standin/exchange_day.py
@@ -101,6 +101,9 @@
     def __contains__(self, key: str) -> bool:
         return False
 
+    def get(self, key: str) -> None:
+        return None
+
 
 def request(method: str, path: str, headers: dict[str, str], data: bytes = b"") -> Any:
     """What the hosts use of aiohttp's request."""
@@ -110,7 +113,7 @@
 
     return Request(
         method=method, path=path, raw_path=path, headers=CIMultiDict(headers), body_exists=bool(data),
-        content_length=len(data), content=Body(data), transport=None, read=read,
+        content_length=len(data), content=Body(data), transport=SimpleNamespace(), read=read,
     )  # fmt: skip
 
 
--- a/tests/test_gateway_verdicts.py
+++ b/tests/test_gateway_verdicts.py
@@ -11,12 +11,14 @@
 from unittest import mock
 
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.web_server import Server
 from multidict import CIMultiDict
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, Is, Not, StartsWith
 
 import pinward.switchboard.call as call_module
 import tests.test_gateway_wire as wire_tests
+from pinward.exchange.answers import Answers
 from pinward.plan.boot import boot_of
 from pinward.plan.routes import Route
 from pinward.switchboard.call import Call, Reply, Send, Wait
@@ -378,3 +380,33 @@
         act = Act(then=Then.RESET, gate=gate)
         machine = self.ask(self.GET % 900 + b"\r\n", act, answered(), work=leaves)[1]
         self.assertThat(len(machine.heads), Equals(1))
+
+
+class Controls(TestCase):
+    """Calls of machines and operators that share a connection."""
+
+    def test_calls_sent_ahead_are_answered_in_their_order_and_none_behind_a_close(self) -> None:
+        begun = []
+
+        class Slow(Answers):
+            async def answer(self, call: Any, word: str, body: bytes) -> tuple[int, str]:
+                begun.append(word)
+                for _ in range(30 if word == "a" else 0):  # the first takes longest
+                    await asyncio.sleep(0)
+                return 200, word
+
+        async def work() -> bytes:
+            server = Server(Slow(None).on_call, access_log=None)  # type: ignore[arg-type]
+            listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
+            reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+            for word, more in (("a", b""), ("b", b"Connection: close\r\n"), ("c", b"")):
+                writer.write(b"GET /rolls/%s HTTP/1.1\r\nHost: h\r\n%s\r\n" % (word.encode(), more))
+                await asyncio.sleep(0)
+            answer = await reader.read()
+            writer.close()
+            listener.close()
+            return answer
+
+        answer = played(work)
+        bodies = [part.split(b"HTTP/1.1")[0] for part in answer.split(b"\r\n\r\n")[1:]]
+        self.assertThat((bodies, begun), Equals(([b"a", b"b"], ["a", "b"])))
