--- a/pinward/switchboard/wire.py
+++ b/pinward/switchboard/wire.py
@@ -91,13 +91,13 @@
     ) -> Ending:  # fmt: skip
         """One request to one machine; never raises but on cancellation. A long answer goes into `sink`."""
         session = self.single if fresh else self.kept
-        asked = headers.get(ID)
+        asked, until = headers.get(ID), asyncio.get_running_loop().time() + allow_s
         try:
             async with session.request(
                 method, URL(url, encoded=True), headers=headers, data=body or None, allow_redirects=False,
                 timeout=time_out(allow_s),
             ) as answer:  # fmt: skip
-                return await self.read(answer, asked, sink)
+                return await self.read(answer, asked, sink, until)
         except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError, NothingSentError):
             return ended(End.REFUSED, Sent.NOTHING)
         except TimeoutError:
@@ -109,7 +109,10 @@
         except (OSError, aiohttp.ClientError):
             return ended(End.RESET)
 
-    async def read(self, answer: aiohttp.ClientResponse, asked: str | None, sink: Outlet | None) -> Ending:
+    async def read(
+        self, answer: aiohttp.ClientResponse, asked: str | None, sink: Outlet | None, until: float
+    ) -> Ending:
+        """What an answer proves, and its body, by `until` of the loop's clock. Raises as aiohttp does."""
         told, status = answer.headers, answer.status
         if not self.answers(answer, asked):
             answer.close()
@@ -125,27 +128,33 @@
             answer.close()
             return ended(End.ANOTHERS)
         parts: list[bytes] = []
-        size, streams = 0, False
-        kept = passed_on(told)
+        size, kept = 0, passed_on(told)
         async for part in answer.content.iter_any():
             size += len(part)
-            if not streams and size > HELD_MOST and sink is not None:
-                streams = await sink.open(status, kept, answer.content_length)
-                held, parts = parts, []
-                for earlier in held if streams else ():
-                    await sink.write(earlier)
-                parts = [] if streams else held
-            if streams and sink is not None:
-                await sink.write(part)
-                continue
+            parts.append(part)
+            if size > HELD_MOST and sink is not None:
+                # Symptom: while its client did not read, a send's time was not looked at, and it had no end.
+                async with asyncio.timeout_at(until):
+                    if await sink.open(status, kept, answer.content_length):
+                        return await self.pass_on(answer, parts, sink, load)
+                sink = None  # not its turn: held on
             if size > BODY_MOST:
                 answer.close()
                 return ended(End.TOO_LONG)
-            parts.append(part)
         body = b"".join(parts)
-        return ended(
-            End.ANSWER, status=status, headers=list(kept.items()), body=body, load=load, streamed=streams
-        )
+        return ended(End.ANSWER, status=status, headers=list(kept.items()), body=body, load=load)
+
+    @staticmethod
+    async def pass_on(
+        answer: aiohttp.ClientResponse, held: list[bytes], sink: Outlet, load: tuple[int, int, int] | None
+    ) -> Ending:
+        """A long answer from here on goes to its client as it comes."""
+        for part in held:
+            await sink.write(part)
+        held.clear()
+        async for part in answer.content.iter_any():
+            await sink.write(part)
+        return ended(End.ANSWER, status=answer.status, load=load, streamed=True)
 
     @staticmethod
     def answers(answer: aiohttp.ClientResponse, asked: str | None) -> bool:
--- a/tests/test_gateway_verdicts.py
+++ b/tests/test_gateway_verdicts.py
@@ -130,10 +130,10 @@
 
     def test_planted_proof_by_a_surplus_answer_is_found(self) -> None:
         class Believes(Wire):
-            async def read(self, answer: Any, asked: Any, sink: Any) -> Ending:
+            async def read(self, answer: Any, asked: Any, sink: Any, until: float) -> Ending:
                 if answer.status == 421 or "X-Not-Run" in answer.headers:
                     return ended(End.TURNED_AWAY, status=answer.status)
-                return await super().read(answer, asked, sink)
+                return await super().read(answer, asked, sink, until)
 
         self.assertThat(wrong_proofs(Believes), Not(Equals([])))
 
@@ -365,6 +365,20 @@
             machine = self.ask(raw, answered(), work=leaves)[1]
             self.assertThat((len(machine.heads), machine.bodies), Equals((1, [])))
 
+    def test_a_client_that_never_reads_is_held_no_longer_than_its_time(self) -> None:
+        """Symptom: a long answer's send waited for its client for ever."""
+
+        async def waits(machine: FaultyMachine, board: Any, stop: Any, writer: Any) -> None:
+            writer.transport.pause_reading()
+            await machine.arrived.wait()
+            while board.open or board.sends:
+                await asyncio.sleep(0)
+            writer.transport.abort()
+
+        long = answered("7", 200, b"z" * 2**25)
+        answer, machine = self.ask(self.GET % 400 + b"\r\n", Act(parts=(long,)), work=waits)
+        self.assertThat(len(answer) < len(long), Is(True))
+
     def test_no_further_machine_works_for_a_client_that_left(self) -> None:
         gate = asyncio.Event()
 
