--- a/pinward/switchboard/call.py
+++ b/pinward/switchboard/call.py
@@ -180,7 +180,7 @@
             cold = now < sending.machine.warm_at
             goal_s = self.route.goal_s or self.route.timeout_s
             trial.ended(now, sending.trial, self.route.name, ending.status >= 500, took, goal_s, cold)
-        if self.state is State.ENDED or (self.passing is not None and sending is not self.passing):
+        if self.state is not State.SENT or (self.passing is not None and sending is not self.passing):
             return
         whole = ending.verdict is Verdict.RAN and ending.status < 500
         self.last = ending
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -244,6 +244,7 @@
         sink = Sink(request, not ahead(request))
         while True:
             if call.tried and request.transport is None:
+                sink.shut()
                 return self.own(BROKEN)  # its client is gone: no further machine works for nobody
             now, trial = self.now(), self.trials.get(name)
             step = call.next(now, self.lines, tries, trial)
@@ -295,6 +296,7 @@
     async def answer(self, sink: Sink, reply: Reply) -> StreamResponse:
         if sink.opened:
             return await sink.end(reply.ending is not None and reply.ending.streamed)
+        sink.shut()
         if reply.ending is None:
             return self.own(reply.status, reply.back_s)
         headers = CIMultiDict((key, value) for key, value in reply.ending.headers if key != NOT_RUN)
--- a/pinward/switchboard/stream.py
+++ b/pinward/switchboard/stream.py
@@ -61,6 +61,11 @@
         except ConnectionError:
             self.gone = True
 
+    def shut(self) -> None:
+        """The request has its answer: no send passes one on any more."""
+        # Symptom: a long answer of the slower of two machines went out behind the one that was given.
+        self.may = False
+
     async def end(self, whole: bool) -> StreamResponse:
         """The answer's end. Raises ConnectionResetError, and ends the connection, where it is not whole."""
         response = self.response
--- a/tests/test_gateway_verdicts.py
+++ b/tests/test_gateway_verdicts.py
@@ -259,26 +259,40 @@
             told = " | ".join("yes" if may else "no" for may in kinds.values())
             self.assertThat(page, Contains(f"| {names[verdict]}{', 5xx' if failed else ''} | {told} |"))
 
+    def two(self) -> tuple[Call, list[Send], Callable[[float], Any]]:
+        """A call with two sends beside each other, and what it says to do at a time."""
+        lines, tries = Lines("a", 1), Tries(boot_of(Settings.TOLD).unwrap().bounds)
+        lines.learn(0.0, [entry(n) for n in range(4)], {}, {})
+        for _ in range(50):
+            tries.request(0.0)
+        call, sends = Call(replace(READ, tries=3), "s", 0.0, 2.0), []
+        for at in (0.0, 1.0):
+            step = call.next(at, lines, tries, None)
+            assert isinstance(step, Send)
+            sends.append(step)
+        self.lines = lines
+        return call, sends, lambda at: call.next(at, lines, tries, None)
+
     def test_nothing_ends_an_answer_that_is_on_its_way(self) -> None:
         for passing in (0, 1):
-            lines, tries = Lines("a", 1), Tries(boot_of(Settings.TOLD).unwrap().bounds)
-            lines.learn(0.0, [entry(n) for n in range(4)], {}, {})
-            for _ in range(50):
-                tries.request(0.0)
-            call = Call(replace(READ, tries=3), "s", 0.0, 2.0)
-            sends = [call.next(0.0, lines, tries, None)]
-            wait = call.next(0.0, lines, tries, None)
-            assert isinstance(wait, Wait)
-            sends.append(call.next(wait.most_s + 0.01, lines, tries, None))
+            call, sends, step = self.two()
             first, other = sends[passing], sends[1 - passing]
-            assert isinstance(first, Send) and isinstance(other, Send)
             call.passes_on(first)
-            call.ended(1.0, lines, other, ended(End.ANSWER, status=200), None)
-            self.assertThat(call.next(1.0, lines, tries, None), Equals(Wait(inf)))
-            call.ended(1.1, lines, first, ended(End.ANSWER, status=200, streamed=True), None)
-            reply = call.next(1.1, lines, tries, None)
+            call.ended(1.0, self.lines, other, ended(End.ANSWER, status=200), None)
+            self.assertThat(step(1.0), Equals(Wait(inf)))
+            call.ended(1.1, self.lines, first, ended(End.ANSWER, status=200, streamed=True), None)
+            reply = step(1.1)
             self.assertTrue(isinstance(reply, Reply) and reply.ending is not None and reply.ending.streamed)
 
+    def test_two_sends_that_end_at_once_leave_the_first_whole_answer(self) -> None:
+        for second in (ended(End.RESET), ended(End.ANSWER, status=200, body=b"second")):
+            call, sends, step = self.two()
+            call.ended(1.0, self.lines, sends[0], ended(End.ANSWER, status=200, body=b"first"), None)
+            call.ended(1.0, self.lines, sends[1], second, None)
+            reply = step(1.0)
+            self.assertTrue(isinstance(reply, Reply) and reply.ending is not None)
+            self.assertThat(reply.ending.body, Equals(b"first"))
+
 
 class Callers(TestCase):
     """Clients on sockets, through a whole switchboard that knows two machines with one script."""
@@ -379,6 +393,25 @@
         answer, machine = self.ask(self.GET % 400 + b"\r\n", Act(parts=(long,)), work=waits)
         self.assertThat(len(answer) < len(long), Is(True))
 
+    def test_a_late_answer_of_the_slower_of_two_machines_reaches_nobody(self) -> None:
+        """Symptom: where it was long, it was passed on behind the answer that had been given."""
+        gate = asyncio.Event()
+
+        async def late(machine: FaultyMachine, board: Any, stop: Any, writer: Any) -> None:
+            while len(machine.heads) < 2 or board.open:
+                await asyncio.sleep(0)
+            gate.set()
+            while board.sends:
+                await asyncio.sleep(0)
+            writer.write(self.GET.replace(b"Id: 7", b"Id: 8") % 900 + b"Connection: close\r\n\r\n")
+
+        for slow in (answered("7", 200, b"z" * 2**20), answered("7", 200, b"zz")):
+            gate.clear()
+            acts = Act(parts=(slow,), gate=gate), answered(), answered("8", 200, b"next"), answered("8")
+            answer, _ = self.ask(self.GET % 1500 + b"\r\n", *acts, work=late)
+            self.assertThat((answer.count(b"HTTP/1.1 200"), answer.count(b"zz")), Equals((2, 0)))
+            self.assertTrue(answer.endswith(b"next"))
+
     def test_no_further_machine_works_for_a_client_that_left(self) -> None:
         gate = asyncio.Event()
 
