An answer's stamp must reach its client; a coded body is no end

Change: a success whose Connection names its stamp, and a body coded besides its chunks, are no answers; what did not come up within nine tenths of a send's time is known not to be sent. Measured: tests failed before, pass now.

--- a/pinward/switchboard/wire.py
+++ b/pinward/switchboard/wire.py
@@ -24,6 +24,7 @@
 CONNECT_S = (
     0.35  # s for a connection to a machine to come up: hundreds of round trips, a lost packet costs more
 )
+CONNECT_PART = 0.9  # of a send's time for its connection: what did not come up by then was not sent
 REST_OF_TURNED_S = 0.05  # s that a turned-away answer's body is waited for: its connection can be kept
 HELD_MOST = 256 * 1024  # bytes of an answer held, so that it is whole before it is passed on
 BODY_MOST = 8 * 2**20  # bytes of one that cannot be passed on yet: it was asked for ahead
@@ -48,9 +49,10 @@
 
 
 def time_out(allow_s: float) -> aiohttp.ClientTimeout:
-    """So long for all of a send, to the moment."""
+    """So long for all of a send, to the moment; less for its connection: then it is known what was late."""
     # aiohttp rounds what is longer than five seconds up to the next whole one: held past the route's Tmo.
-    return aiohttp.ClientTimeout(total=allow_s, sock_connect=min(CONNECT_S, allow_s), ceil_threshold=inf)
+    connect_s = min(CONNECT_S, CONNECT_PART * allow_s)
+    return aiohttp.ClientTimeout(total=allow_s, sock_connect=connect_s, ceil_threshold=inf)
 
 
 def has_end(answer: aiohttp.ClientResponse) -> bool:
@@ -58,7 +60,7 @@
     if answer.method == "HEAD" or answer.status in (204, 304):
         return True
     coding = answer.headers.get("Transfer-Encoding", "")
-    return answer.content_length is not None or coding.lower().rpartition(",")[2].strip() == "chunked"
+    return answer.content_length is not None or coding.lower().strip() == "chunked"
 
 
 def passed_on(headers: Any) -> CIMultiDict[str]:
@@ -124,11 +126,12 @@
         if status < 200 or NOT_RUN in told or not has_end(answer):
             answer.close()
             return ended(End.SPOILT)
-        if status < 300 and STAMP not in told:
+        kept = passed_on(told)
+        if status < 300 and STAMP not in kept:
             answer.close()
             return ended(End.ANOTHERS)
         parts: list[bytes] = []
-        size, kept = 0, passed_on(told)
+        size = 0
         async for part in answer.content.iter_any():
             size += len(part)
             parts.append(part)
--- a/tests/test_gateway_verdicts.py
+++ b/tests/test_gateway_verdicts.py
@@ -14,7 +14,7 @@
 from aiohttp.web_server import Server
 from multidict import CIMultiDict
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, Is, Not, StartsWith
+from testtools.matchers import Contains, Equals, Is, LessThan, Not, StartsWith
 
 import pinward.switchboard.call as call_module
 import tests.test_gateway_wire as wire_tests
@@ -90,6 +90,10 @@
     "another's, not run": ((turned_away("6"),), Then.KEPT, End.ANOTHERS, (1, 502), (2, 200)),
     "no id, not run": ((turned_away(None),), Then.KEPT, End.ANOTHERS, (1, 502), (2, 200)),
     "two ids": ((answered("7", 200, b"ok", "X-Try-Id: 6"),), Then.KEPT, End.ANOTHERS, (1, 502), (2, 200)),
+    "stamp of a connection": ((answered("7", 200, b"ok", "Connection: X-Stamp"),), Then.KEPT,
+                              End.ANOTHERS, (1, 502), (2, 200)),
+    "coded": ((chunked("7", b"ok").replace(b": chunked", b": gzip, chunked"),), Then.KEPT,
+              End.SPOILT, (1, 502), (2, 200)),
     "no stamp": ((answered().replace(b"X-Stamp: s\r\n", b""),), Then.KEPT, End.ANOTHERS, (1, 502), (2, 200)),
     "not run": ((turned_away(),), Then.KEPT, End.TURNED_AWAY, (2, 200), (2, 200)),
     "not it": ((answered("7", 421, b""),), Then.KEPT, End.TURNED_AWAY, (2, 200), (2, 200)),
@@ -214,6 +218,7 @@
     def test_no_send_is_held_past_its_time(self) -> None:
         self.assertThat(time_out(7.25).total, Equals(7.25))
         self.assertThat(time_out(7.25).ceil_threshold, Equals(inf))
+        self.assertThat(time_out(0.1).sock_connect, LessThan(0.1))  # then it is known: nothing was sent
 
 
 class Goes(TestCase):
