--- a/tests/test_gateway_verdicts.py
+++ b/tests/test_gateway_verdicts.py
@@ -6,22 +6,25 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 from math import inf
+from pathlib import Path
 from typing import Any
 from unittest import mock
 
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.web_server import Server
 from multidict import CIMultiDict
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, Is, Not, StartsWith
+from testtools.matchers import Contains, Equals, Is, LessThan, Not, StartsWith
 
 import pinward.switchboard.call as call_module
 import tests.test_gateway_wire as wire_tests
+from pinward.exchange.answers import Answers
 from pinward.plan.boot import boot_of
 from pinward.plan.routes import Route
 from pinward.switchboard.call import Call, Reply, Send, Wait
 from pinward.switchboard.kept import Channel, rest_of
 from pinward.switchboard.lines import Lines
-from pinward.switchboard.verdict import PROVES, End, Ending, Kind, Sent, Verdict, ended, goes_on
+from pinward.switchboard.verdict import GOES_ON, PROVES, End, Ending, Kind, Sent, Verdict, ended, goes_on
 from pinward.switchboard.wire import Wire, time_out
 from pinward.tally.tries import Tries
 from standin.faulty_machine import Act, FaultyMachine, Read, Then, answered, chunked, turned_away
@@ -87,6 +90,10 @@
     "another's, not run": ((turned_away("6"),), Then.KEPT, End.ANOTHERS, (1, 502), (2, 200)),
     "no id, not run": ((turned_away(None),), Then.KEPT, End.ANOTHERS, (1, 502), (2, 200)),
     "two ids": ((answered("7", 200, b"ok", "X-Try-Id: 6"),), Then.KEPT, End.ANOTHERS, (1, 502), (2, 200)),
+    "stamp of a connection": ((answered("7", 200, b"ok", "Connection: X-Stamp"),), Then.KEPT,
+                              End.ANOTHERS, (1, 502), (2, 200)),
+    "coded": ((chunked("7", b"ok").replace(b": chunked", b": gzip, chunked"),), Then.KEPT,
+              End.SPOILT, (1, 502), (2, 200)),
     "no stamp": ((answered().replace(b"X-Stamp: s\r\n", b""),), Then.KEPT, End.ANOTHERS, (1, 502), (2, 200)),
     "not run": ((turned_away(),), Then.KEPT, End.TURNED_AWAY, (2, 200), (2, 200)),
     "not it": ((answered("7", 421, b""),), Then.KEPT, End.TURNED_AWAY, (2, 200), (2, 200)),
@@ -127,10 +134,10 @@
 
     def test_planted_proof_by_a_surplus_answer_is_found(self) -> None:
         class Believes(Wire):
-            async def read(self, answer: Any, asked: Any, sink: Any) -> Ending:
+            async def read(self, answer: Any, asked: Any, sink: Any, until: float) -> Ending:
                 if answer.status == 421 or "X-Not-Run" in answer.headers:
                     return ended(End.TURNED_AWAY, status=answer.status)
-                return await super().read(answer, asked, sink)
+                return await super().read(answer, asked, sink, until)
 
         self.assertThat(wrong_proofs(Believes), Not(Equals([])))
 
@@ -211,6 +218,7 @@
     def test_no_send_is_held_past_its_time(self) -> None:
         self.assertThat(time_out(7.25).total, Equals(7.25))
         self.assertThat(time_out(7.25).ceil_threshold, Equals(inf))
+        self.assertThat(time_out(0.1).sock_connect, LessThan(0.1))  # then it is known: nothing was sent
 
 
 class Goes(TestCase):
@@ -246,26 +254,50 @@
                     idem = (1 if whole else 2, 200)
                     self.assertThat(self.play(READ, ending), Equals(idem), f"{end}, {part}, {status}")
 
+    def test_the_page_prints_the_tables(self) -> None:
+        page = Path("docs/design/line.md").read_text()
+        names = {None: "-", **{verdict: verdict.name.lower().replace("_", " ") for verdict in Verdict}}
+        for end, row in PROVES.items():
+            line = " | ".join(names[verdict] for verdict in row.values())
+            self.assertThat(page, Contains(f"| {end} | {line} |"))
+        for (verdict, failed), kinds in GOES_ON.items():
+            told = " | ".join("yes" if may else "no" for may in kinds.values())
+            self.assertThat(page, Contains(f"| {names[verdict]}{', 5xx' if failed else ''} | {told} |"))
+
+    def two(self) -> tuple[Call, list[Send], Callable[[float], Any]]:
+        """A call with two sends beside each other, and what it says to do at a time."""
+        lines, tries = Lines("a", 1), Tries(boot_of(Settings.TOLD).unwrap().bounds)
+        lines.learn(0.0, [entry(n) for n in range(4)], {}, {})
+        for _ in range(50):
+            tries.request(0.0)
+        call, sends = Call(replace(READ, tries=3), "s", 0.0, 2.0), []
+        for at in (0.0, 1.0):
+            step = call.next(at, lines, tries, None)
+            assert isinstance(step, Send)
+            sends.append(step)
+        self.lines = lines
+        return call, sends, lambda at: call.next(at, lines, tries, None)
+
     def test_nothing_ends_an_answer_that_is_on_its_way(self) -> None:
         for passing in (0, 1):
-            lines, tries = Lines("a", 1), Tries(boot_of(Settings.TOLD).unwrap().bounds)
-            lines.learn(0.0, [entry(n) for n in range(4)], {}, {})
-            for _ in range(50):
-                tries.request(0.0)
-            call = Call(replace(READ, tries=3), "s", 0.0, 2.0)
-            sends = [call.next(0.0, lines, tries, None)]
-            wait = call.next(0.0, lines, tries, None)
-            assert isinstance(wait, Wait)
-            sends.append(call.next(wait.most_s + 0.01, lines, tries, None))
+            call, sends, step = self.two()
             first, other = sends[passing], sends[1 - passing]
-            assert isinstance(first, Send) and isinstance(other, Send)
             call.passes_on(first)
-            call.ended(1.0, lines, other, ended(End.ANSWER, status=200), None)
-            self.assertThat(call.next(1.0, lines, tries, None), Equals(Wait(inf)))
-            call.ended(1.1, lines, first, ended(End.ANSWER, status=200, streamed=True), None)
-            reply = call.next(1.1, lines, tries, None)
+            call.ended(1.0, self.lines, other, ended(End.ANSWER, status=200), None)
+            self.assertThat(step(1.0), Equals(Wait(inf)))
+            call.ended(1.1, self.lines, first, ended(End.ANSWER, status=200, streamed=True), None)
+            reply = step(1.1)
             self.assertTrue(isinstance(reply, Reply) and reply.ending is not None and reply.ending.streamed)
 
+    def test_two_sends_that_end_at_once_leave_the_first_whole_answer(self) -> None:
+        for second in (ended(End.RESET), ended(End.ANSWER, status=200, body=b"second")):
+            call, sends, step = self.two()
+            call.ended(1.0, self.lines, sends[0], ended(End.ANSWER, status=200, body=b"first"), None)
+            call.ended(1.0, self.lines, sends[1], second, None)
+            reply = step(1.0)
+            self.assertTrue(isinstance(reply, Reply) and reply.ending is not None)
+            self.assertThat(reply.ending.body, Equals(b"first"))
+
 
 class Callers(TestCase):
     """Clients on sockets, through a whole switchboard that knows two machines with one script."""
@@ -352,6 +384,39 @@
             machine = self.ask(raw, answered(), work=leaves)[1]
             self.assertThat((len(machine.heads), machine.bodies), Equals((1, [])))
 
+    def test_a_client_that_never_reads_is_held_no_longer_than_its_time(self) -> None:
+        """Symptom: a long answer's send waited for its client for ever."""
+
+        async def waits(machine: FaultyMachine, board: Any, stop: Any, writer: Any) -> None:
+            writer.transport.pause_reading()
+            await machine.arrived.wait()
+            while board.open or board.sends:
+                await asyncio.sleep(0)
+            writer.transport.abort()
+
+        long = answered("7", 200, b"z" * 2**25)
+        answer, machine = self.ask(self.GET % 400 + b"\r\n", Act(parts=(long,)), work=waits)
+        self.assertThat(len(answer) < len(long), Is(True))
+
+    def test_a_late_answer_of_the_slower_of_two_machines_reaches_nobody(self) -> None:
+        """Symptom: where it was long, it was passed on behind the answer that had been given."""
+        gate = asyncio.Event()
+
+        async def late(machine: FaultyMachine, board: Any, stop: Any, writer: Any) -> None:
+            while len(machine.heads) < 2 or board.open:
+                await asyncio.sleep(0)
+            gate.set()
+            while board.sends:
+                await asyncio.sleep(0)
+            writer.write(self.GET.replace(b"Id: 7", b"Id: 8") % 900 + b"Connection: close\r\n\r\n")
+
+        for slow in (answered("7", 200, b"z" * 2**20), answered("7", 200, b"zz")):
+            gate.clear()
+            acts = Act(parts=(slow,), gate=gate), answered(), answered("8", 200, b"next"), answered("8")
+            answer, _ = self.ask(self.GET % 1500 + b"\r\n", *acts, work=late)
+            self.assertThat((answer.count(b"HTTP/1.1 200"), answer.count(b"zz")), Equals((2, 0)))
+            self.assertTrue(answer.endswith(b"next"))
+
     def test_no_further_machine_works_for_a_client_that_left(self) -> None:
         gate = asyncio.Event()
 
@@ -365,4 +430,38 @@
                 await asyncio.sleep(0)
 
         act = Act(then=Then.RESET, gate=gate)
-        self.assertThat(len(self.ask(self.GET % 900 + b"\r\n", act, answered(), work=leaves)[1].heads), Equals(1))
+        machine = self.ask(self.GET % 900 + b"\r\n", act, answered(), work=leaves)[1]
+        self.assertThat(len(machine.heads), Equals(1))
+
+
+class Controls(TestCase):
+    """Calls of machines and operators that share a connection."""
+
+    def test_calls_sent_ahead_are_answered_in_their_order_and_none_behind_a_close(self) -> None:
+        begun = []
+
+        class Slow(Answers):
+            def __init__(self) -> None:
+                """It answers by itself: no part of a control front is needed."""
+
+            async def answer(self, call: Any, word: str, body: bytes) -> tuple[int, str]:
+                begun.append(word)
+                for _ in range(30 if word == "a" else 0):  # the first takes longest
+                    await asyncio.sleep(0)
+                return 200, word
+
+        async def work() -> bytes:
+            server = Server(Slow().on_call, access_log=None)
+            listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
+            reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+            for word, more in (("a", b""), ("b", b"Connection: close\r\n"), ("c", b"")):
+                writer.write(b"GET /rolls/%s HTTP/1.1\r\nHost: h\r\n%s\r\n" % (word.encode(), more))
+                await asyncio.sleep(0)
+            answer = await reader.read()
+            writer.close()
+            listener.close()
+            return answer
+
+        answer = played(work)
+        bodies = [part.split(b"HTTP/1.1")[0] for part in answer.split(b"\r\n\r\n")[1:]]
+        self.assertThat((bodies, begun), Equals(([b"a", b"b"], ["a", "b"])))
