--- a/pinward/exchange/desk.py
+++ b/pinward/exchange/desk.py
@@ -4,20 +4,23 @@
 
 import asyncio
 import contextlib
-from collections import Counter
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 from typing import Any
 
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_ws import WebSocketResponse
 
+from pinward.directory.book import vector_of
 from pinward.exchange.parts import PLAN, ROLL, Parts
-from pinward.trunk.link import say, taken, word_of
+from pinward.trunk.link import encoded, say_encoded, taken, word_of
 
 PULL_S = 0.8  # s that a pull with nothing to tell is held
 GAP_S = 0.1  # s between two answers to one front: many changes at once are one piece of news
 PULLS_S = 3.0  # s without a pull until a session ends
 MEMBER_S = 3.0  # s that a front counts after it was last told of
+ALIKE = 8  # pieces of news kept as they were sent: fronts in step lack the same
+ALIKE_S = 0.25  # s that one is kept: seconds told in it grow old
 
 
 class Desk:
@@ -25,6 +28,7 @@
         self.parts, self.report = parts, report
         self.fronts: dict[str, float] = {}  # members, and when they were last told of
         self.sessions: Counter[str] = Counter()
+        self.alike: OrderedDict[str, tuple[float, str | bytes]] = OrderedDict()
 
     def told(self, now: float, fronts: list[str]) -> None:
         """These fronts have sessions, here or at another control front."""
@@ -63,7 +67,7 @@
                     self.parts.carry()
                 news = await self.news(word["have"], last + GAP_S)
                 last = self.parts.now()
-                await say(ws, news)
+                await say_encoded(ws, self.encoded(news, word["have"]))
         except ConnectionError:
             pass  # the front went elsewhere
         finally:
@@ -72,11 +76,26 @@
                 if not self.sessions[front]:
                     del self.sessions[front]
 
+    def encoded(self, news: dict[str, Any], have: dict[str, Any]) -> str | bytes:
+        """The news as it is sent: packed once for all fronts that lack the same at the same moment."""
+        if not ("plan" in news or "lines" in news):
+            return encoded(news)
+        now = self.parts.now()
+        small = {name: told for name, told in news.items() if name not in ("plan", "lines")}
+        key = repr((have, small, hash(news.get("plan")), self.parts.book.turn))
+        at, told = self.alike.pop(key, (now, b""))
+        if not told or now - at > ALIKE_S:
+            at, told = now, encoded(news)
+        self.alike[key] = (at, told)
+        while len(self.alike) > ALIKE:
+            self.alike.popitem(last=False)
+        return told
+
     async def news(self, have: dict[str, Any], earliest: float) -> dict[str, Any]:
         """What a front lacks, as soon as there is something, or after the time that a pull is held."""
         await asyncio.sleep(max(0.0, earliest - self.parts.now()))
         until = self.parts.now() + PULL_S
-        vector = {source: (life, number) for source, (life, number) in have["vector"].items()}
+        vector = vector_of(have["vector"])
         while True:
             turned, found = self.parts.turned, {}
             public = self.parts.keeper.public
@@ -89,10 +108,9 @@
             if stamp > have["orders"]:
                 found["orders"] = [order.plain() for order in self.parts.orders()]
                 found["orders_at"] = stamp
-            lines = self.parts.book.lacking(vector)
-            if lines:
-                found["lines"] = lines
-                found["vector"] = dict(self.parts.book.seen)
+            lines = self.parts.book.news(self.parts.now(), vector)
+            if lines is not None:
+                found.update(lines.plain())
             left, fresh = until - self.parts.now(), self.parts.keeper.fresh(self.parts.now())
             if found or left <= 0 or fresh != have["fresh"]:
                 found["fronts"] = len(self.fronts)
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -9,6 +9,7 @@
 import contextlib
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from time import time
 from typing import Any
 
 from aiohttp.web_request import BaseRequest
@@ -17,6 +18,8 @@
 from aiohttp.web_ws import WebSocketResponse
 
 from pinward.annunciator import ring
+from pinward.directory.book import GONE_S, News, vector_of
+from pinward.directory.entry import Standing
 from pinward.exchange.answers import Answers
 from pinward.exchange.desk import Desk
 from pinward.exchange.keeper import Kept, Role, View
@@ -29,7 +32,10 @@
 DIGEST_S = 0.5  # s between two words on who was heard
 REREAD_S = 2.0  # s between looks at the settings file, which may change without a signal
 HINT_S = 1.5  # s between two writings of the machines known
+HINT_OLD_S = 30.0  # s by the time of day after which a hint tells of machines that others may have forgotten
 SPREAD_S = 0.02  # s that changes of machines wait for others of the same moment
+WANT_S = 0.2  # s until the same control front is asked again for what is lacking: its answer is on its way
+SAVE_S = (0.05, 0.8)  # s between tries of a disk that refuses writes, doubled each time
 STOP_S = 0.2  # s for calls that are being answered as the process ends
 
 
@@ -40,9 +46,12 @@
         self.hinted, self.hint_at = 0, now
         self.answers, self.desk = Answers(self), Desk(self, self.report)
         self.dialler: Dialler | None = None
-        self.sent: dict[str, int] = {}  # own changes told to each control front
+        self.sent: dict[str, tuple[str, int]] = {}  # own life and changes told to each control front
+        self.wanted: dict[str, float] = {}  # when each control front was last asked for what is lacking
+        self.told_of: dict[str, float] = {}  # when a source, or one that heard it, last spoke
         self.disk = ThreadPoolExecutor(1)
         self.to_save: tuple[int, bytes] | None = None
+        self.hinting = False
         self.saving = self.spreading = False
         self.tasks: set[asyncio.Task[Any]] = set()
         self.told_at, self.was_fresh = now, False
@@ -79,6 +88,7 @@
             self.spawn(self.save())
 
     async def save(self) -> None:
+        pause_s = SAVE_S[0]
         try:
             while self.to_save is not None:
                 (ticket, body), self.to_save = self.to_save, None
@@ -87,8 +97,11 @@
                 except OSError as why:
                     ring(205, why=why)
                     self.to_save = self.to_save or (ticket, body)
-                    await asyncio.sleep(TICK_S)
+                    await self.make_room()
+                    await asyncio.sleep(pause_s)
+                    pause_s = min(SAVE_S[1], 2 * pause_s)
                     continue
+                pause_s = SAVE_S[0]
                 self.keeper.saved(self.now(), ticket)
                 self.carry()
         finally:
@@ -103,7 +116,10 @@
             ring(
                 220, service=order.service, target=order.target, number=order.number, stage=order.stage.value
             )
-            self.tally.learn(self.now(), order)
+            if order.stage is Stage.SERVING:
+                self.tally.learn(self.now(), order)
+            else:
+                self.tally.forget(order.service)
         self.turn()
 
     def send(self, peer: str, word: dict[str, Any]) -> None:
@@ -118,10 +134,11 @@
             return
 
         def up() -> None:
-            self.sent[peer] = 0
+            # What it lacks it asks for: after a moment's cut that is little.
             self.have.pop(peer, None)
+            self.sent[peer] = self.book.seen[self.own]
             self.keeper.met(peer)
-            self.tell_lines(peer, self.book.lacking({}))
+            self.send(peer, {"t": "digest", "beats": [], "fronts": [], "near": [], "vector": self.book.seen})
             self.carry()
 
         def down() -> None:
@@ -131,9 +148,9 @@
         self.links[peer] = Link(self.dialler, (peer, self.boot.inner), hello, up, down)
         self.spawn(self.links[peer].run())
 
-    def tell_lines(self, peer: str, lines: list[list[Any]]) -> None:
-        self.links[peer].send({"t": "lines", "vector": self.book.seen, "news": lines})
-        self.sent[peer] = self.book.seen[self.own][1]
+    def tell_lines(self, peer: str, news: News) -> None:
+        self.links[peer].send({"t": "lines", **news.plain()})
+        self.sent[peer] = self.book.seen[self.own]
 
     def spread(self) -> None:
         """Tells the other control fronts what is new here, many changes of one moment together."""
@@ -141,14 +158,32 @@
             self.spreading = True
             asyncio.get_running_loop().call_later(SPREAD_S, self.spread_now)
 
+    def untold(self, peer: str) -> bool:
+        """True where this control front made changes that a peer was not told."""
+        return self.book.seen[self.own] != self.sent.get(peer, (self.book.life, 0))
+
     def spread_now(self) -> None:
         self.spreading = False
         for peer, link in self.links.items():
-            if link.stands and self.sent.get(peer, 0) < self.book.seen[self.own][1]:
-                have = {**self.book.seen, self.own: (self.life, self.sent.get(peer, 0))}
-                self.tell_lines(peer, self.book.lacking(have))
+            if link.stands and self.untold(peer):
+                have = {self.own: self.sent.get(peer, ("", 0))}
+                self.tell_lines(peer, self.book.changes(self.now(), have, (self.own,)))
         self.turn()
 
+    def want(self, peer: str) -> None:
+        """Asks for what is lacking here, from where this book stands."""
+        if self.now() >= self.wanted.get(peer, 0.0) + WANT_S:
+            self.wanted[peer] = self.now()
+            self.send(peer, {"t": "want", "vector": self.book.seen})
+
+    def holds(self, peer: str, vector: dict[str, Any]) -> None:
+        """A control front says what it holds."""
+        self.have[peer] = vector
+        self.turn_held()
+        self.book.meet(vector_of(vector))
+        if any(self.untold(peer) for peer in self.links):
+            self.spread()
+
     async def on_inner(self, request: BaseRequest) -> Any:
         handler = {LINK: self.on_link, DESK: self.desk.on_desk}.get(request.path)
         return await handler(request) if handler is not None else Response(status=404)
@@ -173,28 +208,33 @@
 
     def hear(self, peer: str, word: dict[str, Any]) -> None:
         now = self.now()
+        self.told_of[peer] = now
         match word["t"]:
             case "lines":
-                vector = {source: (life, number) for source, (life, number) in word["vector"].items()}
-                if self.book.merge(now, peer, vector, word["news"]):
+                changed = self.book.merge(now, News.of(word))
+                if changed is None:
+                    self.want(peer)
+                    return
+                if changed:
                     self.turn()
+                if any(self.untold(peer) for peer in self.links):
+                    self.spread()
                 self.send(peer, {"t": "have", "vector": self.book.seen})
             case "have":
-                self.have[peer] = word["vector"]
-                self.turn_held()
+                self.holds(peer, word["vector"])
             case "digest":
                 self.book.heard(now, word["beats"])
                 self.desk.told(now, word["fronts"])
-                mine = self.book.seen
-                if any(s not in mine or list(mine[s]) != list(seen) for s, seen in word["vector"].items()):
-                    self.send(peer, {"t": "want", "vector": mine})
-                if self.sent.get(peer, 0) < self.book.seen[self.own][1]:
-                    self.spread()
+                self.told_of.update(dict.fromkeys(word["near"], now))
+                self.holds(peer, word["vector"])
+                known = {*self.told_of, *self.keeper.view.voters}
+                if any(s in known and self.book.lacks(s, *seen) for s, seen in word["vector"].items()):
+                    self.want(peer)
             case "want":
-                have = {source: (life, number) for source, (life, number) in word["vector"].items()}
-                lines = self.book.lacking(have)
-                if lines and peer in self.links:
-                    self.tell_lines(peer, lines)
+                self.holds(peer, word["vector"])
+                news = self.book.changes(now, vector_of(word["vector"]))
+                if peer in self.links and not news.empty:
+                    self.tell_lines(peer, news)
             case "call":
                 self.spawn(self.answers.answer_call(peer, word))
             case "reply":
@@ -237,15 +277,28 @@
             since, self.told_at = self.told_at, now
             self.digest(now, since)
         if self.book.turn != self.hinted and now >= self.hint_at:
-            self.hinted, self.hint_at = self.book.turn, now + HINT_S
-            self.spawn(self.hint())
+            self.hint_at = now + HINT_S
+            if not self.hinting:  # one that hangs holds up no others behind it
+                self.hinted, self.hinting = self.book.turn, True
+                self.spawn(self.hint())
         self.carry()
 
     async def hint(self) -> None:
         """Keeps the machines known on disk: after a loss of power calls go through before all have beaten."""
-        lines = [line.entry.plain() for line in self.book.lines.values()]
-        with contextlib.suppress(OSError):
-            await self.on_disk(self.hints, packed({"lines": lines}).encode())
+        # Those that ended would be remembered anew with each start, for as long as if they had just ended.
+        lines = [
+            line.entry.plain() for line in self.book.lines.values() if line.entry.standing is Standing.UP
+        ]
+        try:
+            await self.on_disk(self.hints, packed({"lines": lines, "at": time()}).encode())
+        except OSError as why:
+            ring(205, why=f"hint: {why}")
+        finally:
+            self.hinting = False
+
+    async def make_room(self) -> None:
+        """The control state goes before the machines known, on a disk that takes no more."""
+        await asyncio.get_running_loop().run_in_executor(self.disk, self.hints.empty)
 
     async def on_disk(self, vault: Vault, body: bytes) -> None:
         """A new generation, written beside all else: a disk that hangs stops no beat. Raises OSError."""
@@ -257,14 +310,27 @@
         silent = self.book.age(now) if self.keeper.fresh(now) else []
         for entry in silent:
             ring(230, iid=entry.iid, service=entry.service, standing=entry.standing.name)
+        near = self.sources(now)
         word = {
-            "t": "digest", "beats": self.book.lately(since), "fronts": fronts, "vector":
+            "t": "digest", "beats": self.book.lately(since), "fronts": fronts, "near": near, "vector":
             self.book.seen }  # fmt: skip
         for peer in self.links:
             self.links[peer].send(word)
         if silent:
             self.spread()
 
+    def sources(self, now: float) -> list[str]:
+        """Retires sources not heard of for long; those that this control front itself heard of late."""
+        near = [self.own, *(peer for peer, link in self.links.items() if link.stands)]
+        here = {*near, *self.keeper.view.voters}
+        self.told_of = {s: at for s, at in self.told_of.items() if now - at < GONE_S}
+        for source in [s for s in self.book.seen if s not in here and s not in self.told_of]:
+            self.book.retire(source)
+        for kept in (self.have, self.sent, self.wanted):
+            for peer in [peer for peer in kept if peer not in self.links]:
+                del kept[peer]  # type: ignore[attr-defined]
+        return near
+
     # Roll-outs.
 
     def report(self, front: str, reports: list[Any]) -> None:
@@ -314,7 +380,10 @@
         """At work from here on: links are opened, time is looked at."""
         self.dialler = dialler
         with contextlib.suppress(OSError, ValueError):
-            self.book.restore(self.now(), (self.hints.read() or {"lines": []})["lines"])
+            hint = self.hints.read() or {"lines": [], "at": 0.0}
+            # One left from long ago would bring back lives that all others have forgotten.
+            if abs(time() - hint.get("at", 0.0)) < HINT_OLD_S:
+                self.book.restore(self.now(), hint["lines"])
             self.hinted = self.book.turn
         for peer in (*self.keeper.peers, *(host for host, _ in self.boot.peers)):
             self.meet(peer)
--- a/pinward/trial/tally.py
+++ b/pinward/trial/tally.py
@@ -59,6 +59,11 @@
             self.reports[order.service] = {}
             self.marks[order.service] = deque()
 
+    def forget(self, service: str) -> None:
+        """Its order is over."""
+        for kept in (self.begun, self.reports, self.marks):
+            kept.pop(service, None)  # type: ignore[attr-defined]
+
     def report(self, now: float, front: str, reports: list[Any]) -> None:
         for service, number, life, age_s, routes, vote in reports:
             kept = self.reports.get(service)
--- a/pinward/trunk/link.py
+++ b/pinward/trunk/link.py
@@ -21,6 +21,8 @@
 SILENT_S = 1.2  # s without a sign of TCP from a peer until the connection ends: several round trips and beats
 CONNECT_S = 0.3  # s for a connection to come up
 AGAIN_S = (0.1, 0.4)  # s between two tries, drawn: reconnects of many spread
+RARELY_S = (0.5, 1.0)  # s between two tries of a peer that was away for `AWAY_S`
+AWAY_S = 60.0  # s without a connection: such a peer may be gone for good
 WORDS_MOST = 2000  # words that wait for one peer
 WORD_MOST = 16 * 2**20  # bytes of one word: a snapshot with the largest configuration
 LONG = 2048  # characters of a word from which on it is sent compressed
@@ -45,10 +47,10 @@
             connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False),
         )  # fmt: skip
 
-    async def dial(self, where: tuple[str, int], path: str) -> Any:
+    async def dial(self, where: tuple[str, int], path: str, within_s: float = CONNECT_S) -> Any:
         """A websocket to a control front's inner port. Raises OSError, ClientError, TimeoutError."""
         host, port = where
-        async with asyncio.timeout(CONNECT_S):
+        async with asyncio.timeout(within_s):
             ws = await self.http.ws_connect(
                 f"http://{host}:{port}{path}", autoping=True, compress=0, max_msg_size=WORD_MOST
             )
@@ -78,13 +80,18 @@
     return json.dumps(word, separators=(",", ":"))
 
 
-async def say(ws: Any, word: dict[str, Any]) -> None:
-    """Sends a word; a long one compressed: a front's link may carry 2 Mbit/s, a configuration be 180 KB."""
+def encoded(word: dict[str, Any]) -> str | bytes:
+    """A word as it is sent, a long one compressed: a front's link may carry 2 Mbit/s, a plan be 180 KB."""
     text = packed(word)
-    if len(text) < LONG:
-        await ws.send_str(text)
-    else:
-        await ws.send_bytes(zlib.compress(text.encode(), 6))
+    return text if len(text) < LONG else zlib.compress(text.encode(), 6)
+
+
+async def say_encoded(ws: Any, told: str | bytes) -> None:
+    await (ws.send_str(told) if isinstance(told, str) else ws.send_bytes(told))
+
+
+async def say(ws: Any, word: dict[str, Any]) -> None:
+    await say_encoded(ws, encoded(word))
 
 
 def word_of(message: aiohttp.WSMessage) -> dict[str, Any] | None:
@@ -119,6 +126,7 @@
         self.stands = False
         self.chance = Random(str(where))
         self.trying: asyncio.Task[None] | None = None
+        self.stood_at: float | None = None  # its last connection's end, or its first try
 
     def kick(self) -> None:
         """The peer has just been heard: a try that waits for it to come up begins anew."""
@@ -147,7 +155,10 @@
         try:
             await self.connected()
         except (OSError, aiohttp.ClientError, TimeoutError):
-            await asyncio.sleep(self.chance.uniform(*AGAIN_S))
+            now = asyncio.get_running_loop().time()
+            self.stood_at = now if self.stood_at is None else self.stood_at
+            pauses = AGAIN_S if now - self.stood_at < AWAY_S else RARELY_S
+            await asyncio.sleep(self.chance.uniform(*pauses))
 
     async def connected(self) -> None:
         ws = await self.dialler.dial(self.where, LINK)
@@ -170,6 +181,7 @@
             finally:
                 end.cancel()
         finally:
+            self.stood_at = asyncio.get_running_loop().time()
             if self.stands:
                 self.stands = False
                 self.on_down()
--- a/pinward/trunk/session.py
+++ b/pinward/trunk/session.py
@@ -15,17 +15,21 @@
 import aiohttp
 
 from pinward.annunciator import ring
-from pinward.directory.book import Book
-from pinward.directory.entry import Standing
+from pinward.directory.book import Book, News
 from pinward.plan.boot import Boot
 from pinward.plan.routes import Plan, plan_read
 from pinward.trial.order import Order, Stage
-from pinward.trunk.link import DESK, Dialler, say, word_of
+from pinward.trunk.link import CONNECT_S, DESK, Dialler, say, word_of
 
 NEWS_S = 1.5  # s for an answer to a pull, which is held less than one
 BESIDE_S = 0.06  # s of silence after which the next control front is tried beside: many round trips
 AGAIN_S = (0.05, 0.25)  # s until another control front is tried, drawn
 OLD_S = 1.0  # s that a control front may be without a primary until another is tried: a change takes as long
+QUICK = 6  # vain sessions in a row until pauses grow: each of three is tried twice as quickly as may be
+AGAIN_MOST_S = 1.0  # s, the longest pause, and what a connection may then take: the drowned answer late
+CALM_S = 3.0  # s that a session stands until pauses are short again
+CORES_MOST = 16  # control fronts remembered
+FORGET_S = 5.0  # s between looks for lives to forget
 
 
 class Known:
@@ -34,7 +38,7 @@
     def __init__(self, boot: Boot, life: str) -> None:
         self.plan: Plan | None = None
         self.book = Book("", life, boot.beat_s)
-        self.book.seen = {}
+        self.forget_at = 0.0
         self.orders: dict[str, Order] = {}
         self.orders_at = [0, 0]
         self.fronts, self.fresh = 1, False
@@ -63,20 +67,18 @@
                 ):  # fmt: skip
                     self.orders[order.service] = order
         if "lines" in news:
-            vector = {source: (life, number) for source, (life, number) in news["vector"].items()}
-            changed = bool(self.book.merge(now, "", vector, news["lines"])) or changed
-            self.forget()
+            # None where another session's news was taken between: the next pull says what is held.
+            changed = bool(self.book.merge(now, News.of(news))) or changed
+        if now >= self.forget_at:
+            self.forget_at = now + FORGET_S
+            changed = self.book.forget_ended(now) or changed
         if news["fronts"] != self.fronts:
             self.fronts, changed = max(1, news["fronts"]), True
         return changed
 
-    def forget(self) -> None:
-        """Drops lives that are gone, once many are held: late news of one does nothing but bring it back as
-        gone.
-        """
-        gone = [iid for iid, line in self.book.lines.items() if line.entry.standing is Standing.GONE]
-        for iid in gone[: max(0, len(gone) - 1000)]:
-            del self.book.lines[iid]
+
+class RefusedError(ConnectionError):
+    """No control front runs where one is known: each said so at once."""
 
 
 class Session:
@@ -94,9 +96,30 @@
         self.cores = list(dict.fromkeys(host for host, _ in boot.peers))
         self.at = self.chance.randrange(max(1, len(self.cores)))
         self.stands = False
+        self.vain = 0  # sessions in a row that ended soon, or never began though somebody may have heard
 
-    def learn_cores(self, cores: list[str]) -> None:
-        self.cores += [core for core in cores if core not in self.cores]
+    def learn_cores(self, cores: list[str], sure: bool = False) -> None:
+        """Control fronts there are; where that is sure, those neither told nor in the settings are gone.
+
+        The settings' stay: one that knows only machines gone for good goes back to them.
+        """
+        peers = [host for host, _ in self.boot.peers]
+        here = dict.fromkeys((*cores, *peers))
+        turn = self.core if self.cores else ""
+        kept = [core for core in self.cores if core in here or not sure]
+        for core in here:
+            if core not in kept and (len(kept) < CORES_MOST or core in peers):
+                kept.insert(self.chance.randrange(len(kept) + 1), core)  # not all fronts go on to the same
+        self.cores = kept
+        # One that is gone stays in turn for nobody: the session it stands in ends by itself.
+        self.at = kept.index(turn) if turn in kept else 0
+
+    def pause_s(self) -> float:
+        """Seconds until another control front is tried, longer after many vain tries."""
+        # Guards against storms: hundreds of fronts that try drowned control fronts keep them drowned.
+        low, high = AGAIN_S
+        grown = min(AGAIN_MOST_S / high, 2.0 ** max(0, self.vain - QUICK))
+        return self.chance.uniform(low, high) * grown
 
     async def run(self, dialler: Dialler) -> None:
         while True:
@@ -109,9 +132,11 @@
             except (OSError, aiohttp.ClientError, TimeoutError, ValueError) as why:
                 if self.stands:
                     ring(301, core=self.core, why=type(why).__name__)
+                if not isinstance(why, RefusedError):  # a refusal costs nobody anything
+                    self.vain += 1
             self.stands = False
             self.at += 1
-            await asyncio.sleep(self.chance.uniform(*AGAIN_S))
+            await asyncio.sleep(self.pause_s())
 
     @property
     def core(self) -> str:
@@ -125,24 +150,28 @@
         front that waits for it serves nobody meanwhile. Raises OSError where none answers.
         """
         tries: dict[asyncio.Future[Any], int] = {}
+        hurry, silent = self.vain < QUICK, False
+        beside_s, within_s = (BESIDE_S, CONNECT_S) if hurry else (CONNECT_S, AGAIN_MOST_S)
         try:
             first = self.at
             for turn in range(len(self.cores)):
                 core = self.cores[(first + turn) % len(self.cores)]
-                tries[asyncio.ensure_future(dialler.dial((core, self.boot.inner), DESK))] = first + turn
+                dial = dialler.dial((core, self.boot.inner), DESK, within_s)
+                tries[asyncio.ensure_future(dial)] = first + turn
                 last = turn == len(self.cores) - 1
                 while tries:
                     done, _ = await asyncio.wait(
-                        tries, timeout=None if last else BESIDE_S, return_when=asyncio.FIRST_COMPLETED
+                        tries, timeout=None if last else beside_s, return_when=asyncio.FIRST_COMPLETED
                     )
                     for task in done:
                         at = tries.pop(task)
                         if task.exception() is None:
                             self.at = at
                             return task.result()
+                        silent = silent or isinstance(task.exception(), TimeoutError)
                     if not last or not done:
                         break
-            raise ConnectionError("no control front answers")
+            raise TimeoutError if silent else RefusedError("no control front answers")
         finally:
             for task in tries:
                 task.add_done_callback(partial(self.unused, dialler))
@@ -156,7 +185,7 @@
 
     async def pull(self, ws: Any) -> None:
         """Pulls what is new for as long as the control front answers and is of use."""
-        fresh_at = asyncio.get_running_loop().time()
+        began = fresh_at = asyncio.get_running_loop().time()
         while True:
             pull = {
                 "t": "pull",
@@ -171,8 +200,10 @@
             if not self.stands:
                 self.stands = True
                 ring(300, core=self.core)
-            self.learn_cores(news["cores"])
+            self.learn_cores(news["cores"], news["fresh"])
             now = asyncio.get_running_loop().time()
+            if now - began > CALM_S:
+                self.vain = 0
             if self.known.take(now, news):
                 self.changed()
             fresh_at = now if news["fresh"] else fresh_at
--- a/standin/virtual.py
+++ b/standin/virtual.py
@@ -12,6 +12,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable, Coroutine
 from contextvars import ContextVar
+from math import inf
 from random import Random
 from typing import Any
 
@@ -119,6 +120,8 @@
         self.cuts: set[tuple[str, str]] = set()  # one way each
         self.ends: set[End] = set()
         self.told_bytes: dict[str, int] = {}  # sent on websockets, by sender
+        self.told_bytes_to: dict[str, int] = {}  # the same, by receiver
+        self.rates: dict[str, float] = {}  # bits a second of machines whose links are slow
 
     def chance(self, a: str, b: str) -> Random:
         return self.chances.setdefault((a, b), Random(f"{self.seed}.{a}.{b}"))
@@ -166,6 +169,7 @@
         if self.closed:
             raise ConnectionResetError("the connection is closed")
         self.net.told_bytes[self.own] = self.net.told_bytes.get(self.own, 0) + size
+        self.net.told_bytes_to[self.peer] = self.net.told_bytes_to.get(self.peer, 0) + size
         self.held.append(message)
         if len(self.held) == 1 and not self.net.reaches(self.own, self.peer):
             asyncio.get_running_loop().call_later(SILENT_S, self.given_up, message)
@@ -180,7 +184,9 @@
         loop = asyncio.get_running_loop()
         while self.held and not self.closed and self.net.reaches(self.own, self.peer):
             message = self.held.popleft()
+            rate = min(self.net.rates.get(self.own, inf), self.net.rates.get(self.peer, inf))
             self.arrives = max(self.arrives, loop.time() + self.net.way_s(self.own, self.peer))
+            self.arrives += 8 * len(message.data) / rate
             loop.call_at(self.arrives, self.arrive, message)
 
     def arrive(self, message: aiohttp.WSMessage) -> None:
@@ -204,10 +210,10 @@
     def __init__(self, net: Net, process: Process) -> None:
         self.net, self.process = net, process
 
-    async def dial(self, where: tuple[str, int], path: str) -> Any:
+    async def dial(self, where: tuple[str, int], path: str, within_s: float = CONNECT_S) -> Any:
         own, peer = self.process.ip, where[0]
         if not self.net.reaches(own, peer):
-            await asyncio.sleep(CONNECT_S)
+            await asyncio.sleep(within_s)
             raise TimeoutError
         await asyncio.sleep(2 * self.net.way_s(own, peer))
         other = self.net.processes.get(peer)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -12,7 +12,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, Is, IsInstance, LessThan
 
-from pinward.directory.book import HINT_S, Book
+from pinward.directory.book import HINT_S, Book, News
 from pinward.directory.entry import Entry, Standing
 from pinward.directory.sanctioned import earlier, sanctioned
 from pinward.plan.boot import boot_of
@@ -42,15 +42,15 @@
 class Directory(TestCase):
     def test_news_merge_alike_in_every_order_and_twice(self) -> None:
         told = [
-            [entry(1, calls=5).plain(), "a", "x", 1],
-            [entry(1, calls=7, standing=Standing.DRAIN).plain(), "b", "y", 1],
-            [entry(1, calls=6, standing=Standing.SILENT).plain(), "c", "z", 4],
-            [entry(1, calls=8).plain(), "a", "x", 2],
+            [entry(1, calls=5).plain(), "a", "x", 1, 0.0],
+            [entry(1, calls=7, standing=Standing.DRAIN).plain(), "b", "y", 1, 0.0],
+            [entry(1, calls=6, standing=Standing.SILENT).plain(), "c", "z", 4, 0.0],
+            [entry(1, calls=8).plain(), "a", "x", 2, 0.0],
         ]
         for order in permutations(told):
             book = Book("m", "l", 1.5)
             for one in (*order, order[0]):
-                book.merge(0.0, "", {}, [copy.deepcopy(one)])
+                book.merge(0.0, News({}, {}, [copy.deepcopy(one)]))
             self.assertThat(book.lines["i1"].entry.standing, Is(Standing.DRAIN))
 
     def test_what_left_never_comes_back_in_one_life(self) -> None:
@@ -62,16 +62,23 @@
 
     def test_a_copy_pulls_what_it_lacks_and_all_of_a_source_that_began_anew(self) -> None:
         book, copy_ = Book("m", "l", 1.5), Book("", "f", 1.5)
-        copy_.seen = {}
         for number in range(3):
             book.beat(0.0, entry(number))
-        copy_.merge(0.0, "m", book.seen, book.lacking(copy_.seen))
-        self.assertThat(book.lacking(copy_.seen), Equals([]))
+        snapshot = book.news(0.0, copy_.seen)
+        assert snapshot is not None
+        self.assertThat((snapshot.base, len(snapshot.lines)), Equals((None, 3)))
+        copy_.merge(0.0, snapshot)
+        self.assertThat(book.news(0.0, copy_.seen), Is(None))
         book.beat(1.0, entry(1, calls=2, standing=Standing.DRAIN))
-        self.assertThat([line[0][0] for line in book.lacking(copy_.seen)], Equals(["i1"]))
+        changes = book.news(1.0, copy_.seen)
+        assert changes is not None
+        self.assertThat(changes.base, Equals({"m": (book.life, 3)}))
+        self.assertThat([line[0][0] for line in changes.lines], Equals(["i1"]))
         anew = Book("m", "l2", 1.5)
         anew.beat(2.0, entry(1, calls=3))
-        self.assertThat(len(anew.lacking(copy_.seen)), Equals(1))
+        snapshot = anew.news(2.0, copy_.seen)
+        assert snapshot is not None
+        self.assertThat((snapshot.base, len(snapshot.lines)), Equals((None, 1)))
 
     def test_a_silent_machine_is_up_again_once_any_source_heard_it(self) -> None:
         book = Book("m", "l", 1.5)
--- a/tests/test_gateway_wire.py
+++ b/tests/test_gateway_wire.py
@@ -12,6 +12,7 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, Is, LessThan, Not, StartsWith
 
+from pinward.directory.book import News
 from pinward.directory.entry import Entry, Standing
 from pinward.plan.boot import boot_of
 from pinward.plan.schema import plan_of
@@ -201,7 +202,7 @@
         board, stop = Switchboard(boot), asyncio.Event()
         board.known.plan = plan_of(json.dumps(plan(1))).unwrap()
         life = Entry("i1", "toy", ("127.0.0.1", port), "here", "v1", 6, Standing.UP, 1)
-        board.known.book.merge(0.0, "", {}, [[life.plain(), "m", "l", 1]])
+        board.known.book.merge(0.0, News({}, {"m": ("l", 1)}, [[life.plain(), "m", "l", 1, 0.0]]))
         board.known.fresh = True
         running = asyncio.ensure_future(board.run(stop))
         await asyncio.sleep(0)
