1,000 changes in simulated time; bounds at the exchange's host; a command that shows them

`pinward gateway changes`: the real hosts, hollow machines, restarts, wipes and cuts among changes; copies are compared with what is at each hundredth change.

The emulator's disk may take no more, and its machines' links have a rate. Services that no configuration and no machine has any more leave the front's lists.

--- a/pinward/command/gateway.py
+++ b/pinward/command/gateway.py
@@ -273,6 +273,29 @@
     return int(bool(faults))
 
 
+def changes(
+    *, seeds: int = 3, first: int = 0, count: int = 1000, jobs: int = 3, returns: bool = False,
+    as_json: bool = False,
+) -> int:  # fmt: skip
+    """Plays changes with restarts, lost disks and cuts in simulated time: what is held, on disk and sent.
+
+    Exit 1 where a copy differed from what is, or held what has been.
+
+    :param seeds: how many days
+    :param first: the first seed
+    :param count: changes a day; a row is shown at a tenth of them and at all
+    :param jobs: processors to use
+    :param returns: shows instead how soon fronts that are behind or start know all, on 2 Mbit/s each
+    :param as_json: prints JSON
+    """
+    found = stand_in("changes")
+    if found is None:
+        return 1
+    rows = found.returns() if returns else found.measure(seeds, first, count, jobs)
+    table(rows, as_json)
+    return int(any(row.get("faults") for row in rows))
+
+
 def model(*, states: int = 20_000, plant: str = "none", as_json: bool = False) -> int:
     """Explores the control state: every order of words, ticks, restarts and lost disks, within bounds.
 
@@ -296,7 +319,7 @@
 
 def run(words: list[str]) -> int:
     """Runs the words after `pinward gateway`; the exit status."""
-    calls = (check, show, rolls, events, drill, news, trials, load, model, day)
+    calls = (check, show, rolls, events, drill, news, trials, load, model, day, changes)
     names = {word.__name__.replace("_", "-"): word for word in calls}
     done: Any = defopt.run(names, argv=words, short={}, argparse_kwargs={"prog": "pinward gateway"})
     return int(done)
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -42,6 +42,7 @@
 IDLE_S = 15.0  # s that a client's connection may be idle, where the configuration tells nothing
 LINGER_S = 1.0  # s that the rest of a refused body is read, so that its client sees the answer
 LISTEN = 1024  # connections that wait to be taken
+SERVICES_SPARE = 64  # services of former configurations whose budget is remembered
 
 
 class Switchboard:
@@ -72,6 +73,8 @@
     def changed(self) -> None:
         now, plan = self.now(), self.known.plan
         limits = {name: service.connections for name, service in plan.services.items()} if plan else {}
+        if plan is not None and len(self.tries) > len(plan.services) + SERVICES_SPARE:
+            self.tries = {name: tries for name, tries in self.tries.items() if name in plan.services}
         self.lines.fronts = self.known.fronts
         entries = [line.entry for line in self.known.book.lines.values()]
         self.lines.learn(now, entries, self.known.orders, limits)
--- a/pinward/switchboard/lines.py
+++ b/pinward/switchboard/lines.py
@@ -102,6 +102,9 @@
                 machine.entry = entry
         for iid in [iid for iid, machine in self.machines.items() if iid not in known and not machine.open]:
             del self.machines[iid]
+        some_left = {*by_service, *limits, *(machine.entry.service for machine in self.machines.values())}
+        for name in [name for name in self.services if name not in some_left]:
+            del self.services[name]
         for name in {*by_service, *self.services}:
             service = self.services.setdefault(name, Service())
             found = by_service.get(name, [])
--- a/pinward/trunk/session.py
+++ b/pinward/trunk/session.py
@@ -26,7 +26,8 @@
 AGAIN_S = (0.05, 0.25)  # s until another control front is tried, drawn
 OLD_S = 1.0  # s that a control front may be without a primary until another is tried: a change takes as long
 QUICK = 6  # vain sessions in a row until pauses grow: each of three is tried twice as quickly as may be
-AGAIN_MOST_S = 1.0  # s, the longest pause, and what a connection may then take: the drowned answer late
+AGAIN_MOST_S = 0.5  # s, the longest pause: one that was cut off is back soon after the cut
+PATIENT_S = 1.0  # s that a connection may then take: the drowned answer late, but they do
 CALM_S = 3.0  # s that a session stands until pauses are short again
 CORES_MOST = 16  # control fronts remembered
 FORGET_S = 5.0  # s between looks for lives to forget
@@ -151,7 +152,7 @@
         """
         tries: dict[asyncio.Future[Any], int] = {}
         hurry, silent = self.vain < QUICK, False
-        beside_s, within_s = (BESIDE_S, CONNECT_S) if hurry else (CONNECT_S, AGAIN_MOST_S)
+        beside_s, within_s = (BESIDE_S, CONNECT_S) if hurry else (CONNECT_S, PATIENT_S)
         try:
             first = self.at
             for turn in range(len(self.cores)):
--- a/standin/changes.py
+++ b/standin/changes.py
@@ -10,7 +10,10 @@
 
 import asyncio
 from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, replace
+from functools import partial
+from multiprocessing import get_context
 from random import Random
 from time import process_time
 from typing import Any
@@ -393,7 +396,7 @@
             for ip in day.front_ips:
                 day.kill(ip, 0.5)
             await asyncio.sleep(0.5 + START_S - 0.001)
-            began, cpu = world.now(), process_time()
+            began, cpu, sent = world.now(), process_time(), sum(day.net.told_bytes_to.values())
             up = len(world.up())
             while world.now() < began + 20.0:
                 await asyncio.sleep(0.01)
@@ -403,6 +406,7 @@
                 ):  # fmt: skip
                     break
             row["all_know_s"] = round(world.now() - began, 2)
+            row["bytes"] = round((sum(day.net.told_bytes_to.values()) - sent) / fronts)
             row["processor_s"] = round(process_time() - cpu, 2)
 
         await world.play(work)
@@ -410,3 +414,22 @@
 
     found: dict[str, Any] = played(whole())
     return found
+
+
+def measure(seeds: int, first: int, count: int, jobs: int) -> list[dict[str, Any]]:
+    """Rows of `changes` for so many seeds, at a tenth of the changes and at all; each with its faults."""
+    marks = (max(1, count // 10), count)
+    rows = []
+    with ProcessPoolExecutor(jobs, mp_context=get_context("spawn")) as pool:
+        for found in pool.map(partial(changes, marks=marks), range(first, first + seeds)):
+            rows += [{**row, "faults": len(found["faults"])} for row in found["rows"]]
+    return rows
+
+
+def returns(bits_s: float = 2e6) -> list[dict[str, Any]]:
+    """Rows of `behind` and `herd`."""
+    late = [behind(count, 400, 350, bits_s) for count in (1, 100, 1000)]
+    crowd = [herd(fronts, 400, 350, bits_s) for fronts in (12, 80)]
+    told = [(f"a front behind by {row['behind']}", row["caught_up_s"], row["bytes"]) for row in late]
+    told += [(f"{row['fronts']} fronts start at once", row["all_know_s"], row["bytes"]) for row in crowd]
+    return [{"what": what, "seconds": took, "bytes_a_front": sent} for what, took, sent in told]
--- a/standin/exchange_day.py
+++ b/standin/exchange_day.py
@@ -118,12 +118,18 @@
     """An exchange whose disk is a box of the day's."""
 
     disk_s: Callable[[], float]
+    disk_full: Callable[[], bool]
     box: dict[str, bytes]
 
     async def on_disk(self, vault: Vault, body: bytes) -> None:
         await asyncio.sleep(self.disk_s())
+        if self.disk_full():
+            raise OSError("the disk takes no more")
         self.box[vault.prefix] = body
 
+    async def make_room(self) -> None:
+        self.box.pop("book.", None)
+
 
 class Day:
     def __init__(self, shape: Shape, seed: int) -> None:
@@ -140,6 +146,7 @@
         self.hosts: dict[str, tuple[Process, Any]] = {}
         self.lives: dict[str, int] = {}
         self.slow_disks: dict[str, float] = {}
+        self.full_disks: set[str] = set()
         self.down: set[str] = set()  # fronts that the platform knows to be down
         self.asked: list[Asked] = []
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -216,6 +223,7 @@
         core.disk_s = lambda: (
             self.shape.sync_s * chance.uniform(0.8, 1.5) * self.slow_disks.get(boot.ip, 1.0)
         )
+        core.disk_full = lambda: boot.ip in self.full_disks
         core.hints.read = (  # type: ignore[method-assign]
             lambda: json.loads(box["book."]) if "book." in box else None
         )
