--- a/pinward/command/gateway.py
+++ b/pinward/command/gateway.py
@@ -191,6 +191,27 @@
     return int(any(row["over"] or row["broken"] for row in rows))
 
 
+def operators(*, seeds: int = 20, first: int = 0, plant: str = "none", as_json: bool = False) -> int:
+    """Plays operators that race, lose answers and repeat, in simulated time, and judges all that they saw.
+
+    Exit 0 where nothing broke, or a planted error was found; else 1.
+
+    :param seeds: days of each sort of trouble
+    :param first: the first seed
+    :param plant: an error to plant: by-number, refused, again, late or unconfirmed
+    :param as_json: prints JSON
+    """
+    found = stand_in("operators")
+    if found is None:
+        return 1
+    if plant not in ("none", *found.PLANTS):
+        print(f"pinward: plant: must be one of none, {', '.join(found.PLANTS)}, not {plant}", file=sys.stderr)
+        return 2
+    rows = found.drill(seeds, first, plant)
+    table(rows, as_json)
+    return int(any(row["broken"] for row in rows) != (plant != "none"))
+
+
 def news(*, fronts: int = 12, machines: int = 40, routes: int = 350, as_json: bool = False) -> int:
     """Counts the bytes that exchanges tell a front: at rest, for a drain, for a configuration.
 
@@ -338,6 +359,29 @@
     return int(bool(fell))
 
 
+def changes(
+    *, seeds: int = 3, first: int = 0, count: int = 1000, jobs: int = 3, returns: bool = False,
+    as_json: bool = False,
+) -> int:  # fmt: skip
+    """Plays changes with restarts, lost disks and cuts in simulated time: what is held, on disk and sent.
+
+    Exit 1 where a copy differed from what is, or held what has been.
+
+    :param seeds: how many days
+    :param first: the first seed
+    :param count: changes a day; a row is shown at a tenth of them and at all
+    :param jobs: processors to use
+    :param returns: shows instead how soon fronts that are behind or start know all, on 2 Mbit/s each
+    :param as_json: prints JSON
+    """
+    found = stand_in("changes")
+    if found is None:
+        return 1
+    rows = found.returns() if returns else found.measure(seeds, first, count, jobs)
+    table(rows, as_json)
+    return int(any(row.get("faults") for row in rows))
+
+
 def model(*, states: int = 20_000, plant: str = "none", as_json: bool = False) -> int:
     """Explores the control state: every order of words, ticks, restarts and lost disks, within bounds.
 
@@ -361,7 +405,9 @@
 
 def run(words: list[str]) -> int:
     """Runs the words after `pinward gateway`; the exit status."""
-    calls = (check, show, rolls, events, drill, news, trials, load, model, day, draw, hunt)
+    calls = (
+        check, show, rolls, events, drill, operators, news, trials, load, model, day, draw, hunt, changes
+    )  # fmt: skip
     names = {word.__name__.replace("_", "-"): word for word in calls}
     done: Any = defopt.run(names, argv=words, short={}, argparse_kwargs={"prog": "pinward gateway"})
     return int(done)
--- a/pinward/switchboard/wire.py
+++ b/pinward/switchboard/wire.py
@@ -24,6 +24,7 @@
 CONNECT_S = (
     0.35  # s for a connection to a machine to come up: hundreds of round trips, a lost packet costs more
 )
+CONNECT_PART = 0.9  # of a send's time for its connection: what did not come up by then was not sent
 REST_OF_TURNED_S = 0.05  # s that a turned-away answer's body is waited for: its connection can be kept
 HELD_MOST = 256 * 1024  # bytes of an answer held, so that it is whole before it is passed on
 BODY_MOST = 8 * 2**20  # bytes of one that cannot be passed on yet: it was asked for ahead
@@ -48,9 +49,10 @@
 
 
 def time_out(allow_s: float) -> aiohttp.ClientTimeout:
-    """So long for all of a send, to the moment."""
+    """So long for all of a send, to the moment; less for its connection: then it is known what was late."""
     # aiohttp rounds what is longer than five seconds up to the next whole one: held past the route's Tmo.
-    return aiohttp.ClientTimeout(total=allow_s, sock_connect=min(CONNECT_S, allow_s), ceil_threshold=inf)
+    connect_s = min(CONNECT_S, CONNECT_PART * allow_s)
+    return aiohttp.ClientTimeout(total=allow_s, sock_connect=connect_s, ceil_threshold=inf)
 
 
 def has_end(answer: aiohttp.ClientResponse) -> bool:
@@ -58,7 +60,7 @@
     if answer.method == "HEAD" or answer.status in (204, 304):
         return True
     coding = answer.headers.get("Transfer-Encoding", "")
-    return answer.content_length is not None or coding.lower().rpartition(",")[2].strip() == "chunked"
+    return answer.content_length is not None or coding.lower().strip() == "chunked"
 
 
 def passed_on(headers: Any) -> CIMultiDict[str]:
@@ -91,13 +93,13 @@
     ) -> Ending:  # fmt: skip
         """One request to one machine; never raises but on cancellation. A long answer goes into `sink`."""
         session = self.single if fresh else self.kept
-        asked = headers.get(ID)
+        asked, until = headers.get(ID), asyncio.get_running_loop().time() + allow_s
         try:
             async with session.request(
                 method, URL(url, encoded=True), headers=headers, data=body or None, allow_redirects=False,
                 timeout=time_out(allow_s),
             ) as answer:  # fmt: skip
-                return await self.read(answer, asked, sink)
+                return await self.read(answer, asked, sink, until)
         except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError, NothingSentError):
             return ended(End.REFUSED, Sent.NOTHING)
         except TimeoutError:
@@ -109,7 +111,10 @@
         except (OSError, aiohttp.ClientError):
             return ended(End.RESET)
 
-    async def read(self, answer: aiohttp.ClientResponse, asked: str | None, sink: Outlet | None) -> Ending:
+    async def read(
+        self, answer: aiohttp.ClientResponse, asked: str | None, sink: Outlet | None, until: float
+    ) -> Ending:
+        """What an answer proves, and its body, by `until` of the loop's clock. Raises as aiohttp does."""
         told, status = answer.headers, answer.status
         if not self.answers(answer, asked):
             answer.close()
@@ -121,31 +126,38 @@
         if status < 200 or NOT_RUN in told or not has_end(answer):
             answer.close()
             return ended(End.SPOILT)
-        if status < 300 and STAMP not in told:
+        kept = passed_on(told)
+        if status < 300 and STAMP not in kept:
             answer.close()
             return ended(End.ANOTHERS)
         parts: list[bytes] = []
-        size, streams = 0, False
-        kept = passed_on(told)
+        size = 0
         async for part in answer.content.iter_any():
             size += len(part)
-            if not streams and size > HELD_MOST and sink is not None:
-                streams = await sink.open(status, kept, answer.content_length)
-                held, parts = parts, []
-                for earlier in held if streams else ():
-                    await sink.write(earlier)
-                parts = [] if streams else held
-            if streams and sink is not None:
-                await sink.write(part)
-                continue
+            parts.append(part)
+            if size > HELD_MOST and sink is not None:
+                # Symptom: while its client did not read, a send's time was not looked at, and it had no end.
+                async with asyncio.timeout_at(until):
+                    if await sink.open(status, kept, answer.content_length):
+                        return await self.pass_on(answer, parts, sink, load)
+                sink = None  # not its turn: held on
             if size > BODY_MOST:
                 answer.close()
                 return ended(End.TOO_LONG)
-            parts.append(part)
         body = b"".join(parts)
-        return ended(
-            End.ANSWER, status=status, headers=list(kept.items()), body=body, load=load, streamed=streams
-        )
+        return ended(End.ANSWER, status=status, headers=list(kept.items()), body=body, load=load)
+
+    @staticmethod
+    async def pass_on(
+        answer: aiohttp.ClientResponse, held: list[bytes], sink: Outlet, load: tuple[int, int, int] | None
+    ) -> Ending:
+        """A long answer from here on goes to its client as it comes."""
+        for part in held:
+            await sink.write(part)
+        held.clear()
+        async for part in answer.content.iter_any():
+            await sink.write(part)
+        return ended(End.ANSWER, status=answer.status, load=load, streamed=True)
 
     @staticmethod
     def answers(answer: aiohttp.ClientResponse, asked: str | None) -> bool:
--- a/standin/virtual.py
+++ b/standin/virtual.py
@@ -11,14 +11,17 @@
 import selectors
 from collections import deque
 from collections.abc import Awaitable, Callable, Coroutine
-from contextvars import ContextVar
+from contextvars import Context, ContextVar
+from math import inf
 from random import Random
-from typing import Any
+from typing import Any, TypeVarTuple
 
 import aiohttp
 
 from pinward.trunk.link import CONNECT_S, SILENT_S, Dialler
 
+Some = TypeVarTuple("Some")
+
 LEAST_S = 1e-8  # s by which the clock goes on at each look: waits as short as its rounding end
 
 OWNER: ContextVar[Process | None] = ContextVar("owner", default=None)
@@ -51,6 +54,34 @@
     def time(self) -> float:
         return self.at
 
+    # What a frozen process would do waits: its sockets take bytes, its clock goes on.
+
+    def call_soon(
+        self, callback: Callable[[*Some], object], *args: *Some, context: Context | None = None
+    ) -> asyncio.Handle:
+        owner = OWNER.get() if context is None else context.get(OWNER)
+        if owner is not None and owner.frozen:
+            handle = asyncio.Handle(callback, args, self, context)
+            owner.waits.append(handle)
+            return handle
+        return super().call_soon(callback, *args, context=context)
+
+    def call_at(
+        self, when: float, callback: Callable[[*Some], object], *args: *Some,
+        context: Context | None = None,
+    ) -> asyncio.TimerHandle:  # fmt: skip
+        owner = OWNER.get() if context is None else context.get(OWNER)
+        if owner is None:
+            return super().call_at(when, callback, *args, context=context)
+        return super().call_at(when, self.due, owner, callback, args, context)
+
+    def due(self, owner: Process, callback: Any, args: tuple[Any, ...], context: Context | None) -> None:
+        """A timer of a process is due."""
+        if owner.frozen:
+            owner.timers.append(asyncio.Handle(callback, args, self, context))
+        else:
+            callback(*args)
+
 
 def owned(loop: asyncio.AbstractEventLoop, work: Any, **more: Any) -> asyncio.Task[Any]:
     """Each task belongs to the process in which it began, and ends with it."""
@@ -82,6 +113,9 @@
     def __init__(self, net: Net, ip: str) -> None:
         self.net, self.ip, self.alive = net, ip, True
         self.tasks: set[asyncio.Task[Any]] = set()
+        self.frozen = False
+        self.waits: list[asyncio.Handle] = []  # what would have run while it was frozen
+        self.timers: list[asyncio.Handle] = []  # which of them were timers
         self.attend: dict[str, Callable[[Any], Awaitable[None]]] = {}
         net.processes[ip] = self
 
@@ -97,9 +131,23 @@
         task: asyncio.Task[Any] = self.run(lambda: asyncio.ensure_future(work))
         return task
 
+    def freeze(self) -> None:
+        self.frozen = True
+
+    def thaw(self) -> None:
+        """Goes on with all that came meanwhile: from sockets in any order, then timers, as a loop does."""
+        self.frozen = False
+        self.net.chance(self.ip, "thaw").shuffle(self.waits)
+        waits, self.waits, self.timers = [*self.waits, *self.timers], [], []
+        for handle in waits:
+            if not handle.cancelled() and self.alive:
+                asyncio.get_running_loop().call_soon(handle._run)
+
     def kill(self, power: bool = False) -> None:
         """Ends the process: peers see their connections reset, or nothing where the power is gone too."""
-        self.alive = False
+        self.alive, self.frozen = False, False
+        self.waits.clear()
+        self.timers.clear()
         if self.net.processes.get(self.ip) is self:
             del self.net.processes[self.ip]
         if power:
@@ -119,6 +167,8 @@
         self.cuts: set[tuple[str, str]] = set()  # one way each
         self.ends: set[End] = set()
         self.told_bytes: dict[str, int] = {}  # sent on websockets, by sender
+        self.told_bytes_to: dict[str, int] = {}  # the same, by receiver
+        self.rates: dict[str, float] = {}  # bits a second of machines whose links are slow
 
     def chance(self, a: str, b: str) -> Random:
         return self.chances.setdefault((a, b), Random(f"{self.seed}.{a}.{b}"))
@@ -166,6 +216,7 @@
         if self.closed:
             raise ConnectionResetError("the connection is closed")
         self.net.told_bytes[self.own] = self.net.told_bytes.get(self.own, 0) + size
+        self.net.told_bytes_to[self.peer] = self.net.told_bytes_to.get(self.peer, 0) + size
         self.held.append(message)
         if len(self.held) == 1 and not self.net.reaches(self.own, self.peer):
             asyncio.get_running_loop().call_later(SILENT_S, self.given_up, message)
@@ -180,7 +231,9 @@
         loop = asyncio.get_running_loop()
         while self.held and not self.closed and self.net.reaches(self.own, self.peer):
             message = self.held.popleft()
+            rate = min(self.net.rates.get(self.own, inf), self.net.rates.get(self.peer, inf))
             self.arrives = max(self.arrives, loop.time() + self.net.way_s(self.own, self.peer))
+            self.arrives += 8 * len(message.data) / rate
             loop.call_at(self.arrives, self.arrive, message)
 
     def arrive(self, message: aiohttp.WSMessage) -> None:
@@ -204,10 +257,10 @@
     def __init__(self, net: Net, process: Process) -> None:
         self.net, self.process = net, process
 
-    async def dial(self, where: tuple[str, int], path: str) -> Any:
+    async def dial(self, where: tuple[str, int], path: str, within_s: float = CONNECT_S) -> Any:
         own, peer = self.process.ip, where[0]
         if not self.net.reaches(own, peer):
-            await asyncio.sleep(CONNECT_S)
+            await asyncio.sleep(within_s)
             raise TimeoutError
         await asyncio.sleep(2 * self.net.way_s(own, peer))
         other = self.net.processes.get(peer)
