--- a/standin/day_draw.py
+++ b/standin/day_draw.py
@@ -194,8 +194,8 @@
         words.append(rng.choice(TAKEN_BY))
     if kind.cuts:
         words.append(rng.choice(FELT))
-    if kind.reach:
-        words.append(rng.choice(REACH))
+    if kind.reach:  # a service of which all are gone for good serves no request: a day of that says nothing
+        words.append(rng.choice(REACH if "gone" not in words[0].split() else REACH[:-1]))
     if kind.machines:
         words += [word for word in MEETS if rng.random() < 0.25]
     return " ".join(word for word in words if word)
--- a/tests/test_gateway_days.py
+++ b/tests/test_gateway_days.py
@@ -84,6 +84,7 @@
                     if day["name"].startswith("drawn") and told["kind"] != "replace_core":
                         for field, (least, most) in kind.ranges.items():
                             self.assertThat(least <= told[field] <= most, Equals(True), told)
+                    self.assertThat({"gone", "all"} <= set(told["how"].split()), Equals(False), told)
                     seen.setdefault(told["kind"], set()).update(told["how"].split() or [""])
         self.assertThat(set(seen), Equals(set(day_draw.played_on(day_draw.read(self.site()).unwrap()))))
         self.assertNotIn("idle_race", seen)  # this site hasn't that part of the rules
