An order whose caller has hung up does nothing

Bytes of an operator's own connection may wait in a cut and come seconds after the operator gave up: a roll-out that had ended was started again, once its repeats were no longer remembered. The end of the connection comes with the order, one turn of the loop later.

--- a/pinward/exchange/answers.py
+++ b/pinward/exchange/answers.py
@@ -88,6 +88,8 @@
         body = await request.read()
         if len(body) > call.body_most:
             return Response(status=413, text=fault("the body is too large"), content_type="application/json")
+        if call.primary and call.verb != "GET" and await self.hung_up(request):
+            return Response(status=503, text=fault(UNDONE), content_type="application/json")
         try:
             status, text = await self.answer(call, word, body)
         except Exception as why:  # a fault of the program answers this call alone
@@ -95,6 +97,17 @@
             status, text = 500, fault("a fault in the program")
         return Response(status=status, text=text, content_type="application/json")
 
+    @staticmethod
+    async def hung_up(request: BaseRequest) -> bool:
+        """True where the caller has ended its connection: it gave up, and the order had waited on its way.
+
+        Harm: a roll-out starts again long after it ended. The end is read after the order, one turn of the
+        loop later.
+        """
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return request.transport is None or request.transport.is_closing()
+
     async def answer(self, call: Call, word: str, data: bytes) -> Answer:
         try:
             body = data.decode()
--- a/standin/exchange_day.py
+++ b/standin/exchange_day.py
@@ -124,7 +124,19 @@
         return None
 
 
-def request(method: str, path: str, headers: dict[str, str], data: bytes = b"") -> Any:
+class Transport:
+    """The connection that a request came on."""
+
+    def __init__(self, closing: bool) -> None:
+        self.closing = closing
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+
+def request(
+    method: str, path: str, headers: dict[str, str], data: bytes = b"", transport: Any = None
+) -> Any:  # fmt: skip
     """What the hosts use of aiohttp's request."""
 
     async def read() -> bytes:
@@ -132,7 +144,7 @@
 
     return Request(
         method=method, path=path, raw_path=path, headers=CIMultiDict(headers), body_exists=bool(data),
-        content_length=len(data), content=Body(data), transport=SimpleNamespace(), read=read,
+        content_length=len(data), content=Body(data), transport=transport or SimpleNamespace(), read=read,
     )  # fmt: skip
 
 
@@ -286,9 +298,10 @@
 
     async def send(
         self, front: str, verb: str, path: str, body: Any = None, order: str = "",
-        way_s: Callable[[], float] | None = None, lost: Callable[[], bool] = lambda: False,
+        way_s: Callable[[], float] | None = None, lost: Callable[[], bool] = lambda: False, gone: bool = False,
     ) -> Send:  # fmt: skip
-        """One call to one exchange, until its answer comes, is lost, or a second is over."""
+        """One call to one exchange, until its answer comes, is lost, or a second is over; `gone`: the caller
+        has ended its connection when it comes."""
         sent = Send(order, verb, path, body, front, self.now())
         if not path.startswith("/machines"):
             self.sends.append(sent)
@@ -298,7 +311,8 @@
             return sent
         await asyncio.sleep(way_s())
         data = json.dumps(body).encode() if body is not None else b""
-        task = host[0].spawn(host[1].answers.on_call(request(verb, path, {}, data)))
+        asked = request(verb, path, {}, data, Transport(gone))
+        task = host[0].spawn(host[1].answers.on_call(asked))
         done, _ = await asyncio.wait((task,), timeout=CALL_S)
         if lost():
             await asyncio.sleep(max(0.0, sent.called + CALL_S - self.now()))
--- a/tests/test_gateway_orders.py
+++ b/tests/test_gateway_orders.py
@@ -234,6 +234,18 @@
             self.assertThat(judged(crowd.sends, 1.005), Equals([]))
             self.assertThat({s.status for s in crowd.sends if s.order.startswith("late")}, Equals({503}))
 
+    def test_an_order_whose_caller_has_hung_up_does_nothing(self) -> None:
+        async def troubles(crowd: Operators) -> None:
+            body = {"Svc": "reads", "Target": "v2", "Over": "4s"}
+            for front in crowd.day.core_ips:
+                await crowd.day.send(front, "POST", "/rolls", body, "late", gone=True)
+                await crowd.day.send(front, "PUT", "/cfg", crowd.plan(2, "late"), "late", gone=True)
+            host = crowd.day.hosts[crowd.day.primary() or ""][1]
+            self.assertThat(list(host.keeper.kept.items), Equals(["plan"]))
+            self.assertThat(host.keeper.public["plan"][2]["version"], Equals(1))
+
+        self.alone(troubles)
+
     def test_a_read_that_outlasts_the_lease_is_not_shown(self) -> None:
         shown: list[int] = []
 
