--- a/standin/exchange_day.py
+++ b/standin/exchange_day.py
@@ -298,7 +298,8 @@
 
     async def send(
         self, front: str, verb: str, path: str, body: Any = None, order: str = "",
-        way_s: Callable[[], float] | None = None, lost: Callable[[], bool] = lambda: False, gone: bool = False,
+        way_s: Callable[[], float] | None = None, lost: Callable[[], bool] = lambda: False,
+        gone: bool = False,
     ) -> Send:  # fmt: skip
         """One call to one exchange, until its answer comes, is lost, or a second is over; `gone`: the caller
         has ended its connection when it comes."""
--- a/tests/test_gateway_orders.py
+++ b/tests/test_gateway_orders.py
@@ -186,6 +186,25 @@
         self.alone(troubles)
         self.assertThat(statuses, Equals([200, 409, 200, 409]))
 
+    def test_of_two_bodies_one_wins_whenever_the_primary_is_lost(self) -> None:
+        winners: list[str] = []
+
+        async def troubles(crowd: Operators) -> None:
+            lead, bodies = crowd.day.primary() or "", [crowd.plan(2, name) for name in ("one", "other")]
+            others = [ip for ip in crowd.day.core_ips if ip != lead]
+            some = [crowd.day.spawn(crowd.order("PUT", "/cfg", bodies[0], fronts=[lead, *others]))]
+            await asyncio.sleep(self.at_s)
+            crowd.day.kill(lead, 2.0, power=True)
+            some.append(crowd.day.spawn(crowd.order("PUT", "/cfg", bodies[1], fronts=others)))
+            sends = await asyncio.gather(*some)
+            self.assertThat(sorted(sent.status for sent in sends), Equals([200, 409]))
+            winners.append(next(sent.order for sent in sends if sent.status == 200))
+
+        for ms in range(14):
+            self.at_s = ms / 1000
+            self.alone(troubles)
+        self.assertThat(len(set(winners)), Equals(2))  # the loss came before and after the write
+
     def test_a_repeat_of_an_older_order_is_acknowledged_and_starts_nothing(self) -> None:
         seen: list[tuple[int, str]] = []
         last: list[Order] = []
