--- a/standin/day_records.py
+++ b/standin/day_records.py
@@ -146,7 +146,7 @@
             phases[facts["service"]] = facts["phase"]
         elif what == "fault":
             bad.append(f"fault {at:.2f} {facts['why']}")
-    return bad
+    return bad + [f"fault {why}" for why in day.net.faults]
 
 
 def json_of(text: str) -> Any:
--- a/standin/exchange_day.py
+++ b/standin/exchange_day.py
@@ -154,6 +154,7 @@
     disk_s: Callable[[], float]
     disk_full: Callable[[], bool]
     box: dict[str, bytes]
+    faults: list[str]
 
     async def on_disk(self, vault: Vault, body: bytes) -> None:
         await asyncio.sleep(self.disk_s())
@@ -164,6 +165,11 @@
     async def make_room(self) -> None:
         self.box.pop("book.", None)
 
+    def ended(self, task: asyncio.Task[Any]) -> None:
+        super().ended(task)
+        if not task.cancelled() and (why := task.exception()) is not None:
+            self.faults.append(repr(why))
+
 
 class Day:
     def __init__(self, shape: Shape, seed: int) -> None:
@@ -255,6 +261,7 @@
             kept = Kept.of(json.loads(box["state."]))
         core = Core(boot, Vault(Path(".")), kept, self.now(), life)
         core.box, chance = box, Random(f"disk.{life}.{self.seed}")
+        core.faults = self.net.faults
         core.disk_s = lambda: (
             self.shape.sync_s * chance.uniform(0.8, 1.5) * self.slow_disks.get(boot.ip, 1.0)
         )
--- a/standin/operators.py
+++ b/standin/operators.py
@@ -22,8 +22,9 @@
 from pinward.exchange.calls import Call, signed
 from pinward.exchange.forward import Fate, Incoming
 from pinward.exchange.parts import PLAN
-from pinward.plan.boot import Boot
+from pinward.plan.boot import Boot, Bound
 from pinward.trial.order import Order, Stage
+from pinward.trial.tally import Tally
 from standin.exchange_day import CALL_S, START_S, Class, Core, Day, Send, Shape
 from standin.linearizable import Operation, Register, Rollouts, UndecidedError, linearizable
 from standin.virtual import Dial, Process, played
@@ -36,22 +37,17 @@
 TERMS_S = (4.0, 9.0)
 
 
-class Verdicts:
-    """Stands where the tally is: each order ends after a time drawn, so that a day needs no traffic."""
+class Verdicts(Tally):
+    """A tally whose orders end after a time drawn, so that a day needs no traffic."""
 
-    def __init__(self, seed: str) -> None:
-        self.seed, self.begun = seed, dict[tuple[str, int], float]()
-
-    def learn(self, now: float, order: Order) -> None:
-        self.begun.setdefault((order.service, order.number), now)
-
-    def report(self, now: float, front: str, reports: list[Any]) -> None:
-        pass
+    def __init__(self, bounds: Bound, seed: int) -> None:
+        super().__init__(bounds)
+        self.seed = seed
 
     def verdict(self, now: float, order: Order, fronts: int) -> tuple[Stage | None, str]:
-        begun = self.begun.get((order.service, order.number))
+        number, begun = self.begun.get(order.service, (0, 0.0))
         chance = Random(f"{self.seed}.{order.service}.{order.number}")
-        if begun is None or now - begun < chance.uniform(0.2, 2.5):
+        if number != order.number or now - begun < chance.uniform(0.2, 2.5):
             return None, ""
         return chance.choice((Stage.DONE, Stage.UNDONE)), "drawn"
 
@@ -238,7 +234,7 @@
 
     def exchange(self, process: Process, boot: Boot, life: str, dial: Dial) -> Core:
         core = super().exchange(process, boot, life, dial)
-        core.tally = Verdicts(f"{self.seed}")  # type: ignore[assignment]
+        core.tally = Verdicts(boot.bounds, self.seed)
         return core
 
 
--- a/standin/virtual.py
+++ b/standin/virtual.py
@@ -166,6 +166,7 @@
         self.dark: set[str] = set()  # machines without power
         self.cuts: set[tuple[str, str]] = set()  # one way each
         self.ends: set[End] = set()
+        self.faults: list[str] = []  # errors of programs that ended a connection
         self.told_bytes: dict[str, int] = {}  # sent on websockets, by sender
         self.told_bytes_to: dict[str, int] = {}  # the same, by receiver
         self.rates: dict[str, float] = {}  # bits a second of machines whose links are slow
@@ -272,6 +273,10 @@
         async def attend() -> None:
             try:
                 await other.attend[path](theirs)
+            except Exception as why:
+                if not isinstance(why, OSError):
+                    self.net.faults.append(repr(why))
+                raise
             finally:
                 theirs.die(tell=True)
 
--- a/tests/test_gateway_orders.py
+++ b/tests/test_gateway_orders.py
@@ -16,6 +16,7 @@
 from pinward.exchange.forward import KEPT_MOST, KEPT_S, Fate, Incoming, Outgoing
 from pinward.exchange.host import Exchange
 from pinward.trial.order import Order, Stage
+from standin.day_records import kept
 from standin.linearizable import Operation, Register, Rollouts, UndecidedError, linearizable
 from standin.operators import PLANTS, Operators, drawn, judged, late, play, woken
 
@@ -133,7 +134,7 @@
 
     def alone(self, troubles: Troubles, **more: Any) -> Operators:
         crowd = play(1, 0.1, troubles, count=0, **more)
-        self.assertThat(judged(crowd.sends), Equals([]))
+        self.assertThat([*judged(crowd.sends), *crowd.day.net.faults], Equals([]))
         return crowd
 
     def test_one_body_a_number_and_its_repeat_from_any_machine_at_any_time(self) -> None:
@@ -161,9 +162,9 @@
             await asyncio.sleep(3.0)
             await each(one, other)
             for ip in day.core_ips:  # what a build without digests had kept
-                for kept in (day.hosts[ip][1].keeper.kept.items, day.hosts[ip][1].keeper.public):
-                    if "plan" in kept:
-                        kept["plan"][2] = {k: v for k, v in kept["plan"][2].items() if k != "digest"}
+                for items in (day.hosts[ip][1].keeper.kept.items, day.hosts[ip][1].keeper.public):
+                    if "plan" in items:
+                        items["plan"][2] = {k: v for k, v in items["plan"][2].items() if k != "digest"}
             await each(one, other)
 
         self.alone(troubles)
@@ -311,7 +312,7 @@
         for seed in range(12):
             crowd = play(seed, 12.0, drawn, ack_lost=0.4, cores=5 if seed % 4 == 0 else 3)
             self.assertThat(judged(crowd.sends), Equals([]), f"seed {seed}")
-            self.assertThat([f for _, what, f in crowd.day.events if what == "fault"], Equals([]))
+            self.assertThat([*crowd.day.net.faults, *kept(crowd.day)], Equals([]))
             clear += sum(sent.clear for sent in crowd.sends)
         self.assertThat(clear, GreaterThan(800))
         for seed in range(3):
