A long answer is passed on only where the table says that it is its request's last

Cause: an answer over 256 KB went to the client as it came, before its status was judged: a 503 or 429 of a machine that ran a once request reached its client as a promise, and a long 500 ended a request that may run again.

--- a/pinward/switchboard/call.py
+++ b/pinward/switchboard/call.py
@@ -15,7 +15,7 @@
 from pinward.plan.routes import Route
 from pinward.switchboard.lines import Lines, Machine
 from pinward.switchboard.verdict import (
-    BROKEN, LATE, NEVER_RAN, TURNED, Ending, Kind, Verdict, goes_on, own_status,
+    BROKEN, LATE, NEVER_RAN, TURNED, End, Ending, Kind, Verdict, ended, goes_on, own_status,
 )  # fmt: skip
 from pinward.tally.tries import Tries
 from pinward.trial.front import Trial
@@ -165,6 +165,12 @@
         useful = service is not None and self.until - now > AGAIN_PART * service.usual_s
         return useful and tries.may(now, lines.fronts)
 
+    def final(self, status: int) -> bool:
+        """True where a machine's answer with this status is the client's, whatever else ends."""
+        # Symptom: a long 503 of a machine that ran a `once` request was passed on before the table was asked.
+        last = ended(End.ANSWER, status=status)
+        return not goes_on(last, True, self.kind) and own_status(last, True, self.kind) is None
+
     def passes_on(self, sending: Send) -> None:
         """A send's answer has begun to go to the client: from here on it alone counts."""
         # Symptom: a second machine, asked beside one whose long answer was on its way, ended it midway.
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -285,7 +285,7 @@
         fresh = self.now() < step.machine.shaky_until and request.method not in ("GET", "HEAD")
         fresh = fresh or ID not in headers  # by what else could its answer be known
         assert self.wire is not None
-        ending, outlet = ended(End.ABANDONED), Outlet(sink, lambda: call.passes_on(step))
+        ending, outlet = ended(End.ABANDONED), Outlet(sink, call.final, lambda: call.passes_on(step))
         try:
             ending = await self.wire.send(request.method, url, headers, body, step.allow_s, fresh, outlet)
         finally:
--- a/pinward/switchboard/stream.py
+++ b/pinward/switchboard/stream.py
@@ -10,13 +10,15 @@
 
 
 class Outlet:
-    """One send's way into a request's sink; `opens` is told once its answer begins to be passed on."""
+    """One send's way into a request's sink, for a status that is `final`; `opens` is told once its answer
+    begins to be passed on.
+    """
 
-    def __init__(self, sink: Sink, opens: Callable[[], None]) -> None:
-        self.sink, self.opens, self.write = sink, opens, sink.write
+    def __init__(self, sink: Sink, final: Callable[[int], bool], opens: Callable[[], None]) -> None:
+        self.sink, self.final, self.opens, self.write = sink, final, opens, sink.write
 
     async def open(self, status: int, headers: Any, length: int | None) -> bool:
-        if not self.sink.free:
+        if not self.sink.free or not self.final(status):
             return False
         self.opens()
         await self.sink.open(status, headers, length)
