--- a/pinward/directory/book.py
+++ b/pinward/directory/book.py
@@ -36,8 +36,8 @@
 
 
 def life_of(incarnation: int, token: str) -> str:
-    """A life's name: of two lives of one source, the later compares higher."""
-    return f"{incarnation:08x}.{token}"
+    """A life's name: of two lives of one source, the later compares higher; there are 65,535."""
+    return f"{incarnation:04x}.{token}"
 
 
 @dataclass
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -320,9 +320,10 @@
             self.spread()
 
     def sources(self, now: float) -> list[str]:
-        """Retires sources not heard of for long; those that this control front itself heard of late."""
-        near = [self.own, *(peer for peer, link in self.links.items() if link.stands)]
-        here = {*near, *self.keeper.view.voters}
+        """Retires sources not heard of for long; those that speak to this control front and do not vote."""
+        voters = {self.own, *self.keeper.view.voters}
+        near = [peer for peer, link in self.links.items() if link.stands and peer not in voters]
+        here = {*near, *voters}
         self.told_of = {s: at for s, at in self.told_of.items() if now - at < GONE_S}
         for source in [s for s in self.book.seen if s not in here and s not in self.told_of]:
             self.book.retire(source)
