--- a/pinward/exchange/model.py
+++ b/pinward/exchange/model.py
@@ -406,7 +406,9 @@
     "d0 to c0: heard", "d0 to c0: promise", "time goes on", "c0 ticks", "c0 to d0: transfer",
     "d0 to c0: transferred", "c0 to d0: accept", "d0 to c0: accepted",
 )  # fmt: skip
-STANDS = ("c1 ticks", "c1 to c2: pre_vote", "c2 to c1: pre_granted")
+STANDS = (
+    "c1 ticks", "c1 to c2: pre_vote", "c2 to c1: pre_granted", "c1 to c2: prepare", "c2 to c1: promise",
+)  # fmt: skip
 HUNTS: dict[str, tuple[Bounds, tuple[str, ...]]] = {  # bounds that hold one promise's faults; first steps
     "blank": (Bounds(steps_of_time=4, ticks=3, puts=0, restarts=0, wipes=1, losses=0), ()),
     "early": (Bounds(steps_of_time=3, ticks=2, puts=1, restarts=0, wipes=0, losses=1), ()),
