Hints of machines are written less often with thousands of machines

Cause: the hint writes the whole book each 1.5 s in which anything changed. Change: less often above 1,000 machines.

--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -31,7 +31,7 @@
 
 DIGEST_S = 0.5  # s between two words on who was heard
 REREAD_S = 2.0  # s between looks at the settings file, which may change without a signal
-HINT_S = 1.5  # s between two writings of the machines known
+HINT_S = (1.5, 15.0)  # s between two writings of the machines known, more with over a thousand
 HINT_OLD_S = 30.0  # s by the time of day after which a hint tells of machines that others may have forgotten
 SPREAD_S = 0.02  # s that changes of machines wait for others of the same moment
 WANT_S = 0.2  # s until the same control front is asked again for what is lacking: its answer is on its way
@@ -282,7 +282,8 @@
             since, self.told_at = self.told_at, now
             self.digest(now, since)
         if self.book.turn != self.hinted and now >= self.hint_at:
-            self.hint_at = now + HINT_S
+            # Guards against a processor busy with hints: ten thousand lives take tens of milliseconds.
+            self.hint_at = now + min(HINT_S[1], max(HINT_S[0], HINT_S[0] * len(self.book.lines) / 1000))
             if not self.hinting:  # one that hangs holds up no others behind it
                 self.hinted, self.hinting = self.book.turn, True
                 self.spawn(self.hint())
