--- a/pinward/directory/book.py
+++ b/pinward/directory/book.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from math import inf
 from typing import Any
 
@@ -57,12 +57,15 @@
     """What a copy lacks: changes from `base` to `vector`, or a snapshot where there is no base.
 
     A line is an entry in plain words, its source, the source's life, the number, and the seconds since a
-    control front heard the machine.
+    control front heard the machine. `floors` are the highest numbers of the sources that were forgotten.
+    `partial` stands where a snapshot is due and its teller does not know all yet.
     """
 
     base: Vector | None
     vector: Vector
     lines: list[list[Any]]
+    floors: dict[str, int] = field(default_factory=dict)
+    partial: bool = False
 
     @property
     def empty(self) -> bool:
@@ -73,12 +76,16 @@
         )
 
     def plain(self) -> dict[str, Any]:
-        return {"base": self.base, "vector": self.vector, "lines": self.lines}
+        told = {"base": self.base, "vector": self.vector, "lines": self.lines}
+        return {**told, "floors": self.floors, "partial": self.partial}
 
     @classmethod
     def of(cls, plain: dict[str, Any]) -> News:
         base = plain["base"]
-        return cls(None if base is None else vector_of(base), vector_of(plain["vector"]), plain["lines"])
+        return cls(
+            None if base is None else vector_of(base), vector_of(plain["vector"]), plain["lines"],
+            plain["floors"], plain["partial"],
+        )  # fmt: skip
 
 
 class Book:
@@ -92,6 +99,7 @@
         self.floors: dict[str, int] = {}  # of each source: the highest number that was forgotten
         self.former: Vector = {}  # the last known of sources' former lives
         self.seen: Vector = {own: (self.life, 0)} if own else {}
+        self.partial = False  # a front's copy: what it holds beyond its news is to be looked at again
         self.turn = 0  # rises with each change, from wherever
 
     # Lines.
@@ -261,7 +269,8 @@
                 line = self.lines[iid]
                 ago = round(max(0.0, now - line.heard), 2)
                 lines.append([line.entry.plain(), source, life, at, ago])
-        return News(base, vector, lines)
+        floors = {source: self.floors[source] for source in vector if source in self.floors}
+        return News(base, vector, lines, floors)
 
     def behind(self, have: Vector) -> bool:
         """True where a copy may hold what changes can no longer mend, since what ended it is forgotten."""
@@ -276,12 +285,19 @@
                 return True
         return not have
 
-    def news(self, now: float, have: Vector) -> News | None:
-        """What a front lacks: changes, or a snapshot where it is too far behind; None where nothing."""
+    def news(self, now: float, have: Vector, partial: bool = False, whole: bool = True) -> News | None:
+        """What a front lacks: changes, or a snapshot where it is too far behind; None where nothing.
+
+        Where this book is not `whole`, a copy takes the snapshot's lines and drops none, and is `partial`
+        until it meets a whole one: one that has just begun knows few of the machines that there are.
+        """
         self.meet(have)
-        if self.behind(have):
-            return replace(self.changes(now, {}), base=None)
-        found = self.changes(now, have)
+        behind = self.behind(have)
+        if (behind or partial) and (whole or not have):
+            return replace(self.changes(now, {}), base=None, floors={})
+        if behind:
+            return replace(self.changes(now, {}), floors={}, partial=True)
+        found = replace(self.changes(now, have), floors={})
         return found if found.lines else None
 
     def lacks(self, source: str, life: str, number: int) -> bool:
@@ -318,6 +334,9 @@
             held = self.seen.get(source)
             if source != self.own and (held is None or (held[0] == life and held[1] < number)):
                 self.seen[source] = (life, number)
+                if self.own and source in news.floors:
+                    # A front below it is behind here too, though nothing of it was ever held here.
+                    self.floors[source] = max(self.floors.get(source, 0), news.floors[source])
         if not self.own:
             changed += self.follow(news)
         return changed
@@ -354,6 +373,7 @@
 
     def follow(self, news: News) -> list[Entry]:
         """A front's copy holds no more than what it pulls from: sources it does not know, lives it forgot."""
+        self.partial = news.partial or (self.partial and news.base is not None)
         for source in [source for source in self.seen if source not in news.vector]:
             del self.seen[source]
         if news.base is not None:
--- a/pinward/exchange/desk.py
+++ b/pinward/exchange/desk.py
@@ -108,7 +108,8 @@
             if stamp > have["orders"]:
                 found["orders"] = [order.plain() for order in self.parts.orders()]
                 found["orders_at"] = stamp
-            lines = self.parts.book.news(self.parts.now(), vector)
+            now = self.parts.now()
+            lines = self.parts.book.news(now, vector, have["partial"], now >= self.parts.whole_at)
             if lines is not None:
                 found.update(lines.plain())
             left, fresh = until - self.parts.now(), self.parts.keeper.fresh(self.parts.now())
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 from concurrent.futures import ThreadPoolExecutor
+from math import inf
 from pathlib import Path
 from time import time
 from typing import Any
@@ -30,6 +31,7 @@
 from pinward.trunk.link import DESK, LINK, Dialler, Link, packed, taken, word_of
 
 DIGEST_S = 0.5  # s between two words on who was heard
+WHOLE_S = 1.2  # s with a primary until the book is whole again: two digests, and what they make it ask for
 REREAD_S = 2.0  # s between looks at the settings file, which may change without a signal
 HINT_S = (1.5, 15.0)  # s between two writings of the machines known, more with over a thousand
 HINT_OLD_S = 30.0  # s by the time of day after which a hint tells of machines that others may have forgotten
@@ -55,6 +57,7 @@
         self.saving = self.spreading = False
         self.tasks: set[asyncio.Task[Any]] = set()
         self.told_at, self.was_fresh = now, False
+        self.began = now
         self.watched, self.reread_at = Watched(), now
 
     def spawn(self, work: Any) -> None:
@@ -276,6 +279,7 @@
             self.fresh_at = now
         if self.keeper.fresh(now) != self.was_fresh:
             self.was_fresh = not self.was_fresh
+            self.whole_at = max(now + WHOLE_S, self.began + self.book.silent_s()) if self.was_fresh else inf
             self.turn()
         self.decide(now)
         if now >= self.told_at + DIGEST_S:
--- a/pinward/exchange/parts.py
+++ b/pinward/exchange/parts.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 from abc import ABC, abstractmethod
+from math import inf
 from typing import Any
 
 from pinward.directory.book import Book
@@ -29,6 +30,7 @@
         self.links: dict[str, Link] = {}
         self.have: dict[str, dict[str, Any]] = {}  # what each other control front says that it holds
         self.fresh_at = now  # when this machine last knew of a primary; a start counts
+        self.whole_at = inf  # from when on the book tells of all machines that there are
         self.turned = asyncio.Event()  # set, and replaced, at each change that fronts are told
         self.held = asyncio.Event()  # set, and replaced, when another control front says what it holds
 
--- a/pinward/trunk/session.py
+++ b/pinward/trunk/session.py
@@ -47,7 +47,7 @@
     def vector(self) -> dict[str, Any]:
         return {
             "plan": self.plan.version if self.plan else -1, "orders": self.orders_at, "vector":
-            self.book.seen, "fresh": self.fresh,
+            self.book.seen, "partial": self.book.partial, "fresh": self.fresh,
         }  # fmt: skip
 
     def take(self, now: float, news: dict[str, Any]) -> bool:
--- a/standin/changes.py
+++ b/standin/changes.py
@@ -109,6 +109,19 @@
                 if hollow.ended is None and n % 10 == step % 10:
                     self.call(hollow)
 
+    async def watch(self) -> None:
+        """No front loses sight of a machine that it knew and that is up."""
+        held: dict[str, tuple[Any, set[str]]] = {}
+        while True:
+            await asyncio.sleep(0.1)
+            for ip, host in self.fronts():
+                before, here = held.get(ip, (None, set())), set(host.known.book.lines)
+                held[ip] = (host, here)
+                up = {hollow.entry.iid for hollow in self.up()}
+                lost = (before[1] - here) & up
+                if before[0] is host and lost:
+                    self.faults.append(f"DROPPED {ip} at {self.now():.1f}: {sorted(lost)[:3]}")
+
     async def leave(self, hollow: Hollow) -> None:
         hollow.ended = self.now()
         hollow.entry = replace(hollow.entry, standing=Standing.DRAIN)
@@ -230,6 +243,7 @@
             for _ in range(self.machines):
                 self.begin()
             day.spawn(self.beats())
+            day.spawn(self.watch())
             await asyncio.sleep(3.0)
             await work()
 
@@ -311,6 +325,13 @@
             await churn(second, 1)
             day.net.join(ways)
             await look(4.0)
+            # One that begins with nothing is all that a front reaches.
+            day.kill(day.core_ips[third], 0.1, wipe=True)
+            alone = {day.core_ips[third], *day.front_ips[2:]}
+            ways = day.net.cut(alone, {day.core_ips[first], day.core_ips[second]})
+            await asyncio.sleep(2.0)
+            day.net.join(ways)
+            await look(4.0)
             await look(gone_s + LATER_S)
 
         await world.play(work)
@@ -321,7 +342,8 @@
 
 
 def planted(name: str) -> Any:
-    """An error to plant, as a context: `gap`, `life`, `lives` or `floor`."""
+    """An error to plant, as a context: one of `PLANTS`."""
+    news = Book.news
     return {
         "none": lambda: mock.patch.object(Book, "own_errors", None, create=True),
         # Changes are taken in wherever they start from.
@@ -332,10 +354,12 @@
         "lives": lambda: mock.patch.object(book_module, "GONE_S", float("inf")),
         # A copy far behind gets changes and no snapshot.
         "floor": lambda: mock.patch.object(Book, "behind", lambda self, have: not have),
+        # A snapshot of one that has just begun is taken as if it told of all.
+        "whole": lambda: mock.patch.object(Book, "news", lambda self, now, have, *_: news(self, now, have)),
     }[name]()
 
 
-PLANTS = ("none", "gap", "life", "lives", "floor")
+PLANTS = ("none", "gap", "life", "lives", "floor", "whole")
 
 
 def behind(changes: int, machines: int, routes: int, bits_s: float, seed: int = 1) -> dict[str, Any]:
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -118,6 +118,33 @@
             self.assertThat(standings(self.copy).get("i1", Standing.GONE), Is(Standing.GONE))
             self.assertThat(self.copy.lines, Contains("i3"))
 
+    def test_what_was_forgotten_before_an_exchange_began_is_known_there(self) -> None:
+        for number in (1, 2):
+            self.a.beat(0.0, entry(number))
+        pull(0.0, self.copy, self.a)
+        self.a.leave(0.5, "i1")
+        for turn in range(180):
+            self.a.beat(0.5 * turn, entry(2, calls=turn))
+            self.a.age(0.5 * turn)
+        self.swap(90.0, self.a, self.b)
+        pull(90.0, self.copy, self.b)
+        self.assertThat(list(self.copy.lines), Equals(["i2"]))
+
+    def test_an_exchange_that_knows_little_takes_nothing_from_a_front(self) -> None:
+        for number in (1, 2):
+            self.a.beat(0.0, entry(number))
+        pull(0.0, self.copy, self.a)
+        self.b.beat(1.0, entry(3))
+        news = self.b.news(1.0, self.copy.seen, whole=False)
+        assert news is not None
+        self.copy.merge(1.0, news)
+        self.assertThat((set(self.copy.lines), self.copy.partial), Equals(({"i1", "i2", "i3"}, True)))
+        self.assertThat(self.b.news(1.1, self.copy.seen, True, whole=False), Is(None))
+        news = self.b.news(6.0, self.copy.seen, True, whole=True)
+        assert news is not None
+        self.copy.merge(6.0, news)
+        self.assertThat((set(self.copy.lines), self.copy.partial), Equals(({"i3"}, False)))
+
     def test_a_source_that_began_anew_is_told_once_and_its_former_life_never_comes_back(self) -> None:
         for number in (1, 2, 3):
             self.b.beat(0.0, entry(number))
@@ -500,7 +527,8 @@
         self.assertThat(self.absences("none"), Equals(set()))
 
     def test_errors_planted_are_found(self) -> None:
-        for plant, rule in (("gap", "LIVES"), ("life", "LIVES"), ("lives", "HELD"), ("floor", "LIVES")):
+        rules = {"gap": "LIVES", "life": "LIVES", "lives": "HELD", "floor": "LIVES", "whole": "DROPPED"}
+        for plant, rule in rules.items():
             self.assertThat(self.absences(plant), Contains(rule), plant)
 
     def test_one_behind_catches_up_over_a_slow_link(self) -> None:
