--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -39,6 +39,7 @@
 WANT_S = 0.2  # s until the same control front is asked again for what is lacking: its answer is on its way
 SAVE_S = (0.05, 0.8)  # s between tries of a disk that refuses writes, doubled each time
 STOP_S = 0.2  # s for calls that are being answered as the process ends
+HANDED_S = 1.5  # s of `Grace` left for the end itself, once seat and copy were handed over or could not be
 
 
 class Exchange(Parts):
@@ -51,6 +52,7 @@
         self.sent: dict[str, tuple[str, int]] = {}  # own life and changes told to each control front
         self.wanted: dict[str, float] = {}  # when each control front was last asked for what is lacking
         self.told_of: dict[str, float] = {}  # when a source, or one that heard it, last spoke
+        self.dials: dict[str, asyncio.Task[Any]] = {}  # what keeps each link up
         self.disk = ThreadPoolExecutor(1)
         self.to_save: tuple[int, bytes] | None = None
         self.hinting = False
@@ -60,10 +62,11 @@
         self.began = now
         self.watched, self.reread_at = Watched(), now
 
-    def spawn(self, work: Any) -> None:
+    def spawn(self, work: Any) -> asyncio.Task[Any]:
         task = asyncio.ensure_future(work)
         self.tasks.add(task)
         task.add_done_callback(self.ended)
+        return task
 
     def ended(self, task: asyncio.Task[Any]) -> None:
         self.tasks.discard(task)
@@ -150,7 +153,13 @@
 
         hello = {"t": "hello", "from": self.own, "life": self.life}
         self.links[peer] = Link(self.dialler, (peer, self.boot.inner), hello, up, down)
-        self.spawn(self.links[peer].run())
+        self.dials[peer] = self.spawn(self.links[peer].run())
+
+    def drop(self, peer: str) -> None:
+        """Ends the link to a control front that is gone for good."""
+        self.dials.pop(peer).cancel()
+        for some in (self.links, self.sent, self.have, self.wanted):
+            some.pop(peer, None)  # type: ignore[attr-defined]
 
     def tell_lines(self, peer: str, news: News) -> None:
         self.links[peer].send({"t": "lines", **news.plain()})
@@ -267,14 +276,15 @@
         boot = self.watched.taken(anyway)
         if boot is not None:
             self.boot = boot
-            for host, _ in boot.peers:
-                self.meet(host)
+            self.meet_all()
 
     def look(self, now: float) -> None:
         if now >= self.reread_at:
             self.reread_at = now + REREAD_S
             self.reread()
         self.keeper.tick(now)
+        for peer in [peer for peer in self.links if peer not in self.keeper.peers]:
+            self.drop(peer)
         if self.keeper.fresh(now):
             self.fresh_at = now
         if self.keeper.fresh(now) != self.was_fresh:
@@ -376,6 +386,7 @@
         ring(100, ctl=f"{host}:{port}", inner=self.boot.inner, epoch=self.keeper.kept.promised)
         await stop.wait()
         ring(101)
+        await self.hand_over()
         if self.keeper.role is Role.PRIMARY:
             self.keeper.step_down(self.now())
             self.carry()
@@ -396,10 +407,24 @@
             if abs(time() - hint.get("at", 0.0)) < HINT_OLD_S:
                 self.book.restore(self.now(), hint["lines"])
             self.hinted = self.book.turn
-        for peer in (*self.keeper.peers, *(host for host, _ in self.boot.peers)):
-            self.meet(peer)
+        self.meet_all()
         self.spawn(self.beat())
 
+    def meet_all(self) -> None:
+        """Opens links to all control fronts that the settings or the state name."""
+        self.keeper.know([host for host, _ in self.boot.peers])
+        for peer in sorted(self.keeper.peers):
+            self.meet(peer)
+
+    async def hand_over(self) -> None:
+        """Serves on until others have taken what this machine holds, or for a bound within `Grace`."""
+        until = self.now() + self.boot.bounds.grace_s - HANDED_S
+        self.keeper.leave(self.now())
+        self.carry()
+        while not self.keeper.released and self.now() < until:
+            await asyncio.sleep(TICK_S)
+        ring(208, released=self.keeper.released)
+
 
 def open_vault(boot: Boot) -> tuple[Vault, Kept]:
     """The state on disk, or what a machine without any begins from."""
