--- a/standin/operators.py
+++ b/standin/operators.py
@@ -238,12 +238,17 @@
         return core
 
 
+CUTS = ("cut", "one-way", "pair")
+CATCH_UP_S = 4.0  # s after which a machine that lost its disk counts again (`Sync`)
+
+
 async def drawn(crowd: Operators) -> None:
-    """Troubles of a bad day, drawn: primaries and others killed, cut off for 5 to 20 s, frozen and woken."""
+    """Troubles of a bad day, drawn: primaries and others killed, wiped, cut off for 5 to 20 s, frozen."""
     day, chance = crowd.day, Random(f"troubles.{crowd.day.seed}")
     for _ in range(3):
         await asyncio.sleep(chance.uniform(0.5, 4.0))
-        lead, kind = day.primary(), chance.choice(("kill", "cut", "one-way", "pair", "freeze", "blinks"))
+        lead = day.primary()
+        kind = chance.choice(("kill", "wipe", *CUTS, "freeze", "blinks"))
         some = lead if lead is not None and chance.random() < 0.7 else chance.choice(day.core_ips)
         if some not in day.hosts:
             continue
@@ -251,6 +256,9 @@
         if kind == "kill":
             day.kill(some, chance.uniform(0.2, 3.0), power=chance.random() < 0.5)
             await asyncio.sleep(3.5)
+        elif kind == "wipe":
+            day.kill(some, down_s := chance.uniform(0.2, 2.0), power=True, wipe=True)
+            await asyncio.sleep(down_s + START_S + CATCH_UP_S)
         elif kind == "freeze":
             day.freeze(some, for_s := chance.uniform(0.3, 6.0))
             await asyncio.sleep(for_s)
--- a/standin/virtual.py
+++ b/standin/virtual.py
@@ -46,6 +46,7 @@
 class Loop(asyncio.SelectorEventLoop):
     def __init__(self) -> None:
         self.at = 0.0
+        self.ends = False  # what is frozen does not keep a run from its end
         selector = Jumps()
         selector.loop = self
         super().__init__(selector)
@@ -60,7 +61,7 @@
         self, callback: Callable[[*Some], object], *args: *Some, context: Context | None = None
     ) -> asyncio.Handle:
         owner = OWNER.get() if context is None else context.get(OWNER)
-        if owner is not None and owner.frozen:
+        if owner is not None and owner.frozen and not self.ends:
             handle = asyncio.Handle(callback, args, self, context)
             owner.waits.append(handle)
             return handle
@@ -77,7 +78,7 @@
 
     def due(self, owner: Process, callback: Any, args: tuple[Any, ...], context: Context | None) -> None:
         """A timer of a process is due."""
-        if owner.frozen:
+        if owner.frozen and not self.ends:
             owner.timers.append(asyncio.Handle(callback, args, self, context))
         else:
             callback(*args)
@@ -100,6 +101,7 @@
         asyncio.set_event_loop(loop)
         return loop.run_until_complete(work)
     finally:
+        loop.ends = True
         for task in asyncio.all_tasks(loop):
             task.cancel()
         loop.run_until_complete(asyncio.sleep(0))
