--- a/tests/test_gateway_verdicts.py
+++ b/tests/test_gateway_verdicts.py
@@ -27,6 +27,7 @@
 from pinward.switchboard.verdict import GOES_ON, PROVES, End, Ending, Kind, Sent, Verdict, ended, goes_on
 from pinward.switchboard.wire import Wire, time_out
 from pinward.tally.tries import Tries
+from standin.callers_drill import CallersDrill
 from standin.faulty_machine import Act, FaultyMachine, Read, Then, answered, chunked, turned_away
 from tests.test_gateway_parts import BOOK, READ, entry
 from tests.test_gateway_plan import Settings
@@ -437,6 +438,41 @@
         self.assertThat(len(machine.heads), Equals(1))
 
 
+class Drawn(TestCase):
+    """Drawn clients and drawn faults around one front, judged by what both ends saw."""
+
+    board, taken = wire_tests.Clients.board, wire_tests.Clients.taken
+
+    def drill(self, seed: int, rounds: int = 4) -> CallersDrill:
+        async def work() -> CallersDrill:
+            drill, ports = CallersDrill(seed), []
+            for _ in range(3):
+                server = await asyncio.start_server(drill.machine, "127.0.0.1", 0, limit=2**24)
+                ports.append(server.sockets[0].getsockname()[1])
+            board, stop, running = await self.board(*ports)  # type: ignore[misc]
+            for _ in range(rounds):
+                for machine in board.lines.machines.values():
+                    machine.aside_until = -inf  # faults are drawn anew: none is left out for long
+                await asyncio.gather(*(drill.client("127.0.62.9", 18641) for _ in range(8)))
+            stop.set()
+            await running
+            return drill
+
+        return asyncio.run(work())
+
+    def test_each_answer_is_its_callers(self) -> None:
+        drill = self.drill(1)
+        self.assertThat(drill.found, Equals([]))
+        self.assertThat(drill.counts["200"] > 30 and drill.counts["502 of the front"] > 3, Is(True))
+
+    def test_planted_answers_of_others_and_promises_of_what_ran_are_found(self) -> None:
+        with mock.patch.object(Call, "final", lambda self, status: True):
+            self.assertTrue(any("REFUSED" in one for seed in range(8) for one in self.drill(seed).found))
+        mixes = mock.patch.object(Channel, "asks", lambda self, id_: setattr(self, "asked", True))
+        with mixes, mock.patch.object(Wire, "answers", lambda self, answer, asked: True):
+            self.assertTrue(any("MIXED" in one for seed in range(8) for one in self.drill(seed).found))
+
+
 class Controls(TestCase):
     """Calls of machines and operators that share a connection."""
 
