--- a/tests/test_gateway_verdicts.py
+++ b/tests/test_gateway_verdicts.py
@@ -31,6 +31,7 @@
 from standin.faulty_machine import Act, FaultyMachine, Read, Then, answered, chunked, turned_away
 from tests.test_gateway_parts import BOOK, READ, entry
 from tests.test_gateway_plan import Settings
+from tests.test_gateway_wire import EDGE
 
 WAIT_S = 8.0  # s that a test may take: none ends by it where all is well
 RAN, MAY, TURNED, NOT_SENT = Verdict.RAN, Verdict.MAY_HAVE_RUN, Verdict.TURNED_AWAY, Verdict.NOT_SENT
@@ -317,7 +318,7 @@
             machine = FaultyMachine.of(acts)
             ports = await machine.start(), await machine.start()
             board, stop, running = await self.board(*ports)  # type: ignore[misc]
-            reader, writer = await asyncio.open_connection("127.0.62.9", 18641)
+            reader, writer = await asyncio.open_connection(*EDGE)
             writer.write(raw)
             if work is not None:
                 await work(machine, board, stop, writer)
@@ -453,7 +454,7 @@
             for _ in range(rounds):
                 for machine in board.lines.machines.values():
                     machine.aside_until = -inf  # faults are drawn anew: none is left out for long
-                await asyncio.gather(*(drill.client("127.0.62.9", 18641) for _ in range(8)))
+                await asyncio.gather(*(drill.client(*EDGE) for _ in range(8)))
             stop.set()
             await running
             return drill
--- a/tests/test_gateway_wire.py
+++ b/tests/test_gateway_wire.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from typing import Any
@@ -22,6 +23,8 @@
 from standin.gateway_rig import plan
 from tests.test_gateway_plan import Settings
 
+# Of this process alone: beside another's tests clients would meet the other's board.
+EDGE = (f"127.62.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}", 18641)
 WAIT_S = 5.0  # s that a test may take: no test ends by it where all is well
 SOUND = b"HTTP/1.1 200 OK\r\nX-Try-Id: 7\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\nok"
 
@@ -155,7 +158,7 @@
         async def work() -> bytes:
             port = await machine.start()
             _, _, running = await self.board(port)
-            reader, writer = await asyncio.open_connection("127.0.62.9", 18641)
+            reader, writer = await asyncio.open_connection(*EDGE)
             writer.write(raw)
             if end:
                 writer.write_eof()
@@ -183,8 +186,8 @@
 
             machine = await asyncio.start_server(serve, "127.0.0.1", 0)
             board, stop, running = await self.board(machine.sockets[0].getsockname()[1])
-            idle, idle_out = await asyncio.open_connection("127.0.62.9", 18641)
-            busy, busy_out = await asyncio.open_connection("127.0.62.9", 18641)
+            idle, idle_out = await asyncio.open_connection(*EDGE)
+            busy, busy_out = await asyncio.open_connection(*EDGE)
             busy_out.write(self.GET)
             await asked.wait()
             stop.set()
@@ -206,7 +209,7 @@
         """A switchboard that serves, has a machine at each port, and leaves without delay."""
         boot = boot_of(Settings.TOLD).unwrap()
         boot = replace(
-            boot, bind={"Up": ("127.0.0.1", 0), "Edge": ("127.0.62.9", 18641)}, peers=(("127.0.62.9", 1),),
+            boot, bind={"Up": ("127.0.0.1", 0), "Edge": EDGE}, peers=((EDGE[0], 1),),
             bounds=replace(boot.bounds, grace_s=LAST_S),
         )  # fmt: skip
         board, stop = Switchboard(boot), asyncio.Event()
@@ -226,7 +229,7 @@
 
     async def taken(self) -> bool:
         try:
-            _, writer = await asyncio.open_connection("127.0.62.9", 18641)
+            _, writer = await asyncio.open_connection(*EDGE)
         except ConnectionRefusedError:
             return False
         writer.close()
@@ -294,7 +297,7 @@
 
             machine = await asyncio.start_server(serve, "127.0.0.1", 0)
             board, stop, running = await self.board(machine.sockets[0].getsockname()[1])
-            reader, writer = await asyncio.open_connection("127.0.62.9", 18641)
+            reader, writer = await asyncio.open_connection(*EDGE)
             first = self.GET.replace(b"Connection: close\r\n", b"")
             writer.write(first + first.replace(b"/toy/x", b"/toy/y").replace(b"Id: 7", b"Id: 8"))
             heads = [await asked.get(), await asked.get()]
@@ -318,8 +321,8 @@
     def test_a_head_that_comes_for_ever_ends_its_connection_and_no_other(self) -> None:
         async def work() -> tuple[bytes, bytes]:
             board, stop, running = await self.board(1)
-            slow, slow_out = await asyncio.open_connection("127.0.62.9", 18641)
-            well, well_out = await asyncio.open_connection("127.0.62.9", 18641)
+            slow, slow_out = await asyncio.open_connection(*EDGE)
+            well, well_out = await asyncio.open_connection(*EDGE)
             slow_out.write(b"GET /toy/x HTTP/1.1\r\nHost: toy.ex")
             assert board.server is not None and board.known.plan is not None
             while not any(getattr(c, "head_since", None) for c in board.server.connections):
