gateway scale: real exchanges beside hollow fronts and machines on loopback

Change: `pinward gateway scale`: exchanges and switchboards as processes of their own, fronts (real sessions that keep their vector alone) and machines (beats on kept connections) many in one process. Processor and memory from outside by process, bytes from the sockets.

--- a/pinward/command/gateway.py
+++ b/pinward/command/gateway.py
@@ -294,9 +294,49 @@
     return int((found["broken"] is None) != (plant == "none"))
 
 
+def scale(
+    *, fronts: int = 30, machines: int = 100, services: int = 10, routes: int = 100, cores: int = 3,
+    window_s: float = 15.0, most_s: float = 240.0, profile: Path | None = None, as_json: bool = False,
+) -> int:  # fmt: skip
+    """Measures real exchanges and switchboards on loopback beside hollow fronts and machines.
+
+    Prints each process's load in a settled window, while machines restart, and how long changes and losses
+    take. Exit 1 where the run ended early or a front was never told of all machines.
+
+    :param fronts: hollow fronts
+    :param machines: hollow machines
+    :param services: their services
+    :param routes: routes of the configuration
+    :param cores: exchanges
+    :param window_s: seconds that are measured at a time
+    :param most_s: seconds that the run may take
+    :param profile: runs the exchanges under cProfile and leaves profiles and logs in this folder
+    :param as_json: prints JSON
+    """
+    found = stand_in("gateway_scale")
+    if found is None:
+        return 1
+    size = found.Size(
+        fronts=fronts, machines=machines, services=services, routes=routes, cores=cores,
+        window_s=window_s, most_s=most_s, profile=profile is not None,
+    )  # fmt: skip
+    run = found.measure(size, profile)
+    if as_json:
+        print(json.dumps(run))
+    else:
+        for name in ("rest", "churn"):
+            if name in run:
+                print(f"{name}, load {run[name]['load']:.1f}:")
+                table(found.rows(run, name), False)
+        for name in ("start", "short", "configuration", "drain", "primary_killed", "all_killed", "ended"):
+            if name in run:
+                print(f"{name}: {json.dumps(run[name])}")
+    return int("ended" in run or bool(run["short"]["fronts"]))
+
+
 def run(words: list[str]) -> int:
     """Runs the words after `pinward gateway`; the exit status."""
-    calls = (check, show, rolls, events, drill, news, trials, load, model, day)
+    calls = (check, show, rolls, events, drill, news, trials, load, model, day, scale)
     names = {word.__name__.replace("_", "-"): word for word in calls}
     done: Any = defopt.run(names, argv=words, short={}, argparse_kwargs={"prog": "pinward gateway"})
     return int(done)
--- a/standin/gateway_rig.py
+++ b/standin/gateway_rig.py
@@ -70,8 +70,8 @@
 class Rig:
     """The settings of `cores` exchanges and `fronts` switchboards in a folder."""
 
-    def __init__(self, folder: Path, cores: int = 3, fronts: int = 2) -> None:
-        self.folder = folder
+    def __init__(self, folder: Path, cores: int = 3, fronts: int = 2, beat_s: float = BEAT_S) -> None:
+        self.folder, self.beat_s = folder, beat_s
         self.cores = [CORES.format(i + 1) for i in range(cores)]
         self.fronts = [FRONTS.format(i + 1) for i in range(fronts)]
 
@@ -88,7 +88,7 @@
                 "Quorum": core, "Init": True, "VarDir": str(data) if core else None,
             },
             "Net": {"Bind": bind, "PortsIn": [INNER, INNER + 9], "Peers": [f"{c}:{CTL}" for c in self.cores]},
-            "Plat": {"Hb": f"{BEAT_S}s"},
+            "Plat": {"Hb": f"{self.beat_s}s"},
             "Terms": {"Survive": {"Nodes": 1}, "Bnds": {"Grace": "3s"}},
         }  # fmt: skip
         path = self.folder / f"{name}.json"
