--- a/standin/gateway_hollow.py
+++ b/standin/gateway_hollow.py
@@ -117,6 +117,7 @@
             self.orders_at = max(self.orders_at, news["orders_at"])
         if "lines" in news:
             self.book.seen = later(self.book.seen, news["vector"])
+            self.times.counts["lines"] += len(news["lines"])
             lacked = any(self.lacks)
             for plain, *_ in news["lines"]:
                 self.lacks[int(plain[0][2:8])] = 0
