--- a/pinward/command/gateway.py
+++ b/pinward/command/gateway.py
@@ -22,6 +22,7 @@
 from pinward.plan.schema import plan_of
 
 PAGE = Path(__file__).parents[2] / "docs" / "operate" / "events.md"
+ONCE = ("start", "short", "configuration", "drain", "requests", "primary_killed", "all_killed", "ended")
 ANSWER_S = 3.0  # s for an exchange to answer
 
 
@@ -296,7 +297,8 @@
 
 def scale(
     *, fronts: int = 30, machines: int = 100, services: int = 10, routes: int = 100, cores: int = 3,
-    window_s: float = 15.0, most_s: float = 240.0, profile: Path | None = None, as_json: bool = False,
+    requests: float = 0.0, window_s: float = 15.0, most_s: float = 240.0, profile: Path | None = None,
+    as_json: bool = False,
 ) -> int:  # fmt: skip
     """Measures real exchanges and switchboards on loopback beside hollow fronts and machines.
 
@@ -308,6 +310,7 @@
     :param services: their services
     :param routes: routes of the configuration
     :param cores: exchanges
+    :param requests: requests a second to one real switchboard; machines, 250 at most, then answer them
     :param window_s: seconds that are measured at a time
     :param most_s: seconds that the run may take
     :param profile: runs the exchanges under cProfile and leaves profiles and logs in this folder
@@ -318,7 +321,7 @@
         return 1
     size = found.Size(
         fronts=fronts, machines=machines, services=services, routes=routes, cores=cores,
-        window_s=window_s, most_s=most_s, profile=profile is not None,
+        requests=requests, window_s=window_s, most_s=most_s, profile=profile is not None,
     )  # fmt: skip
     run = found.measure(size, profile)
     if as_json:
@@ -328,7 +331,7 @@
             if name in run:
                 print(f"{name}, load {run[name]['load']:.1f}:")
                 table(found.rows(run, name), False)
-        for name in ("start", "short", "configuration", "drain", "primary_killed", "all_killed", "ended"):
+        for name in ONCE:
             if name in run:
                 print(f"{name}: {json.dumps(run[name])}")
     return int("ended" in run or bool(run["short"]["fronts"]))
--- a/standin/gateway_hollow.py
+++ b/standin/gateway_hollow.py
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-from pinward.trunk import lean as lean  # before all that would load OpenSSL
-
 import asyncio
 import json
 import re
@@ -21,6 +19,9 @@
 from types import SimpleNamespace
 from typing import Any
 
+if __name__ == "__main__":  # before all that would load OpenSSL, which tests of other parts need
+    from pinward.trunk import lean as lean
+
 import aiohttp
 
 from pinward.directory.entry import Standing
@@ -28,6 +29,9 @@
 from pinward.trunk.link import Dialler
 from pinward.trunk.session import Known, Session
 
+TRY = re.compile(rb"(?i)\r\nx-try-id: *([^\r]*)")
+ANSWER = b"Content-Length: 400\r\n\r\n" + 400 * b"x"  # the rest of each answer of a machine that serves
+SERVED = ("127.0.63.{}", 18080)  # where machines serve that do
 VERSION = re.compile(r'"Ver":\s*"([0-9A-Fa-f]{1,8})"')
 LENGTH = re.compile(rb"(?i)\r\ncontent-length: *([0-9]+)")
 CALL_S = 1.0  # s that a machine waits for an answer, until it calls elsewhere
@@ -162,6 +166,21 @@
             self.done.set_result(status)
 
 
+class Server(asyncio.Protocol):
+    """A machine that answers each request at once: what is measured is the front before it."""
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport, self.got = transport, b""
+
+    def data_received(self, data: bytes) -> None:
+        self.got += data
+        while b"\r\n\r\n" in self.got:
+            head, _, self.got = self.got.partition(b"\r\n\r\n")
+            found = TRY.search(head)
+            told = b"X-Try-Id: " + (found[1] if found else b"") + b"\r\nX-Stamp: s\r\nX-Load: 0,0,6\r\n"
+            self.transport.write(b"HTTP/1.1 200 OK\r\n" + told + ANSWER)
+
+
 class HollowMachine:
     """One machine over all its lives."""
 
@@ -185,6 +204,8 @@
             desc = {"Svc": self.service, "Ver": "v1", "Az": f"zone-{self.number % 10}", "Cap": 6}
             stat = {"Phase": phase, "Calls": self.calls, "Warmup": "0ms"}
             where = f"10.{self.number >> 16}.{self.number >> 8 & 255}.{self.number & 255}:18080"
+            if self.told.serve:
+                where = f"{SERVED[0].format(self.number + 1)}:{SERVED[1]}"
             body = json.dumps({"Sock": where, "Desc": desc, "Stat": stat}, separators=(",", ":")).encode()
         head = f"{verb} /machines/{self.iid} HTTP/1.1\r\nHost: {core}\r\nContent-Type: application/json\r\n"
         data = f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
@@ -270,6 +291,31 @@
             session = Session(boot.unwrap(), known, f"hollow{n}", lambda: [], lambda: None)
             self.keep(session.run(dialler))  # type: ignore[arg-type]
 
+    async def serves(self) -> None:
+        """The machines answer requests too; at most 250 of them."""
+        loop = asyncio.get_running_loop()
+        for machine in self.machines:
+            await loop.create_server(Server, SERVED[0].format(machine.number + 1), SERVED[1])
+
+    async def asks(self, where: tuple[str, int], per_s: float, for_s: float, connections: int) -> None:
+        """Requests at a steady rate over kept connections; seconds that each took are kept as `took`."""
+        end, chance = time.monotonic() + for_s, Random(per_s)
+
+        async def one(number: int) -> None:
+            caller, at, sent = None, time.monotonic() + chance.random() * connections / per_s, 0
+            while (at := at + chance.expovariate(per_s / connections)) < end:
+                await asyncio.sleep(max(0.0, at - time.monotonic()))
+                began, sent = time.monotonic(), sent + 1
+                if caller is None or caller.transport is None:
+                    _, caller = await asyncio.get_running_loop().create_connection(Caller, *where)
+                name = f"{number}.{sent}"
+                head = f"GET /path00000/x HTTP/1.1\r\nHost: host-000.example\r\nX-Try-Id: {name}\r\n"
+                status = await caller.call(f"{head}X-Deadline-Ms: 2000\r\n\r\n".encode())
+                self.times.at["took" if status == 200 else "failed"].append(time.monotonic() - began)
+
+        await asyncio.gather(*(one(n) for n in range(connections)))
+        self.times.told("asked")
+
     async def churn(self, per_s: float, for_s: float) -> None:
         """Restarts machines one after another; those that are done begin again."""
         end, n = time.monotonic() + for_s, 0
@@ -295,6 +341,9 @@
                 iid = machine.iid
                 self.keep(machine.leaves())
                 return iid
+            case "ask":
+                self.times.at.clear()
+                self.keep(self.asks(tuple(asked["where"]), *asked["how"]))
             case "churn":
                 self.keep(self.churn(asked["per_s"], asked["for_s"]))
         return {}
@@ -309,6 +358,8 @@
             asked = json.loads(line)
             if asked["do"] == "begin":
                 hollow.begin()
+                if told["serve"]:
+                    await hollow.serves()
             print(json.dumps(await hollow.answer(asked)), flush=True)
 
 
--- a/standin/gateway_scale.py
+++ b/standin/gateway_scale.py
@@ -25,13 +25,15 @@
 from statistics import linear_regression
 from typing import Any
 
-from standin.gateway_rig import CTL, FRONTS, INNER, UP, Rig
+from standin.gateway_hollow import SERVED
+from standin.gateway_rig import CTL, EDGE, FRONTS, INNER, UP, Rig
 from standin.processes import ROOT, Process
 
 HOLLOW_MOST = 4  # processes for all hollow fronts, and as many for all machines
 FRONTS_EACH, MACHINES_EACH = 200, 2500  # hollow ones in one process
 MEMORY_MOST_MIB = 16 * 1024  # MiB of all processes together, beyond which a run ends
 LOOK_S = 0.1  # s between two looks
+REQUEST_CONNECTIONS = 32  # that requests to one switchboard come over
 CALL_S = 1.0  # s that the operator waits for an answer
 SETTLE_S = 6.0  # s after the start until the settled window begins
 STILL_S = 10.0  # s without one more front that tells of something until no more are waited for
@@ -55,6 +57,7 @@
     beat_s: float = 1.5
     window_s: float = 15.0
     most_s: float = 240.0  # s of the whole run
+    requests: float = 0.0  # a second, to one real switchboard; machines then serve, 250 at most
     profile: bool = False  # exchanges run under cProfile: their figures count for shares alone
     faults: bool = True  # kills exchanges at the end
 
@@ -178,6 +181,7 @@
             self.boards[ip] = self.process(ip, ["pinward.switchboard"])
         self.fronts: list[Child] = []
         self.machines: list[Child] = []
+        self.others: list[Child] = []
 
     def process(self, ip: str, words: list[str]) -> Process:
         env = {"PINWARD_BOOT": str(self.rig.settings(ip))}
@@ -190,20 +194,20 @@
     # Hollow ones.
 
     def hollow(self) -> None:
+        for n, part in enumerate(shares(self.size.fronts, FRONTS_EACH, HOLLOW_MOST)):
+            self.fronts.append(Child(self.told(part, (0, 0)), self.folder, f"fronts-{n}"))
+        for n, part in enumerate(shares(self.size.machines, MACHINES_EACH, HOLLOW_MOST)):
+            self.machines.append(Child(self.told((0, 0), part), self.folder, f"machines-{n}"))
+        self.every(do="ready")
+
+    def told(self, fronts: tuple[int, int], machines: tuple[int, int]) -> dict[str, Any]:
+        """What a process of hollow ones is told: its part, and where the exchanges are."""
         size, boot = self.size, json.loads(self.rig.settings(FRONTS.format(250)).read_text())
-        told = {
+        return {
             "boot": boot, "cores": self.rig.cores, "port": CTL, "seed": 1, "beat_s": size.beat_s,
             "services": size.services, "all_machines": size.machines, "most_s": size.most_s + 30.0,
+            "serve": size.requests > 0, "fronts": fronts, "machines": machines,
         }  # fmt: skip
-        for n, part in enumerate(shares(size.fronts, FRONTS_EACH, HOLLOW_MOST)):
-            self.fronts.append(
-                Child({**told, "fronts": part, "machines": (0, 0)}, self.folder, f"fronts-{n}")
-            )
-        for n, part in enumerate(shares(size.machines, MACHINES_EACH, HOLLOW_MOST)):
-            self.machines.append(
-                Child({**told, "fronts": (0, 0), "machines": part}, self.folder, f"machines-{n}")
-            )
-        self.every(do="ready")
 
     def every(self, some: list[Child] | None = None, **asked: Any) -> list[Any]:
         some = [*self.fronts, *self.machines] if some is None else some
@@ -383,6 +387,31 @@
         self.every(self.machines[:1], do="churn", per_s=per_s, for_s=self.size.window_s)
         return {"restarts_a_second": per_s, **self.window(self.size.window_s)}
 
+    def carries(self) -> dict[str, Any]:
+        """Requests through a switchboard, and the same straight to a machine: processor time of each, and
+        what is added to the time that 50 and 99 in 100 take."""
+        board, size = next(iter(self.boards.values())), self.size
+        child = Child(self.told((0, 0), (0, 0)), self.folder, "asker")
+        self.others.append(child)
+        found: dict[str, Any] = {}
+        for name, where in (("direct", (SERVED[0].format(1), SERVED[1])), ("through", (board.name, EDGE))):
+            cpu, load = board.cpu_s(), os.getloadavg()[0]
+            how = (size.requests, size.window_s, REQUEST_CONNECTIONS)
+            self.every([child], do="ask", where=where, how=how)
+            time.sleep(size.window_s)
+            while not self.every([child], do="times", of="asked")[0]:
+                time.sleep(LOOK_S)
+            took = sorted(self.every([child], do="times", of="took")[0])
+            failed = len(self.every([child], do="times", of="failed")[0])
+            spent = board.cpu_s() - cpu
+            found[name] = {
+                "answered": len(took), "failed": failed, "load": load,
+                "p50_ms": round(1000 * took[len(took) // 2], 2),
+                "p99_ms": round(1000 * took[len(took) * 99 // 100], 2),
+                "switchboard_cpu_s": round(spent, 2), "cpu_ms_each": round(1000 * spent / len(took), 3),
+            }  # fmt: skip
+        return found
+
     def loses(self, some: list[str]) -> dict[str, Any]:
         """Kills exchanges; those are started again once a write was taken, or at once where all went."""
         self.every(self.fronts, do="mark")
@@ -424,6 +453,8 @@
             step("drain", self.drains)
             time.sleep(SETTLE_S)
             step("churn", lambda: self.churns(2.0))
+            if self.size.requests:
+                step("requests", self.carries)
             if self.size.faults:
                 time.sleep(SETTLE_S)
                 step("primary_killed", lambda: self.loses([self.primary()]))
@@ -437,7 +468,7 @@
         return found
 
     def close(self) -> None:
-        for child in (*self.fronts, *self.machines):
+        for child in (*self.fronts, *self.machines, *self.others):
             child.child.kill()
             child.child.wait()
             for pipe in (child.child.stdin, child.child.stdout):
--- a/tests/test_gateway_scale.py
+++ b/tests/test_gateway_scale.py
@@ -16,7 +16,16 @@
 from pinward.plan.schema import plan_of
 from pinward.trunk.session import Session
 from standin.exchange_day import Class, Day, Shape
-from standin.gateway_hollow import Caller, CountedDialler, HollowKnown, HollowMachine, Times, later
+from standin.gateway_hollow import (
+    TRY,
+    Caller,
+    CountedDialler,
+    HollowKnown,
+    HollowMachine,
+    Server,
+    Times,
+    later,
+)
 from standin.gateway_scale import Size, grown, parts, plan, shares, slope, sockets
 from standin.virtual import Dial, Process, played
 from standin.works import Kind
@@ -141,6 +150,13 @@
 
 
 class Calls(TestCase):
+    def test_each_request_is_answered_by_its_own_id(self) -> None:
+        server, written = Server(), []
+        server.connection_made(SimpleNamespace(write=written.append))
+        for piece in (b"GET /a HTTP/1.1\r\nX-Try-Id: 1\r\n", b"\r\nGET /b HTTP/1.1\r\nx-try-id: 2\r\n\r\n"):
+            server.data_received(piece)
+        self.assertThat([TRY.search(told)[1] for told in written], Equals([b"1", b"2"]))  # type: ignore[index]
+
     def test_an_answer_in_pieces_counts_once_whole(self) -> None:
         async def work() -> list[int | None]:
             caller, seen = Caller(), []
@@ -159,7 +175,12 @@
             port = server.sockets[0].getsockname()[1]
             times = Times()
             told = SimpleNamespace(
-                seed=1, cores=["127.0.0.1"] * 3, port=port, times=times, gate=asyncio.Semaphore(1)
+                seed=1,
+                cores=["127.0.0.1"] * 3,
+                port=port,
+                times=times,
+                gate=asyncio.Semaphore(1),
+                serve=False,
             )
             machine = HollowMachine(5, "s", told)
             at = machine.at
