--- a/standin/gateway_hollow.py
+++ b/standin/gateway_hollow.py
@@ -193,7 +193,8 @@
 
     @property
     def iid(self) -> str:
-        return f"i-{self.number:06d}{self.life:04d}"
+        # As hard to compress as the users' names are.
+        return f"i-{self.number:06d}{Random(f'{self.number}.{self.life}').getrandbits(32):08x}"
 
     async def call(self, verb: str, phase: str = "up") -> bool:
         """One call, to the exchange in use; after a failure the next is in use."""
@@ -203,7 +204,7 @@
         if verb == "PUT":
             desc = {"Svc": self.service, "Ver": "v1", "Az": f"zone-{self.number % 10}", "Cap": 6}
             stat = {"Phase": phase, "Calls": self.calls, "Warmup": "0ms"}
-            where = f"10.{self.number >> 16}.{self.number >> 8 & 255}.{self.number & 255}:18080"
+            where = "10.{}.{}.{}:18080".format(*Random(self.number).randbytes(3))
             if self.told.serve:
                 where = f"{SERVED[0].format(self.number + 1)}:{SERVED[1]}"
             body = json.dumps({"Sock": where, "Desc": desc, "Stat": stat}, separators=(",", ":")).encode()
--- a/standin/gateway_scale.py
+++ b/standin/gateway_scale.py
@@ -22,6 +22,7 @@
 from dataclasses import asdict, dataclass
 from math import log
 from pathlib import Path
+from random import Random
 from statistics import linear_regression
 from typing import Any
 
@@ -65,9 +66,12 @@
 def plan(version: int, size: Size) -> dict[str, Any]:
     """A configuration with the size's services and routes; each version alters every time-out."""
     routes: dict[str, list[dict[str, Any]]] = defaultdict(list)
+    chance = Random(1)  # names as the users have them: hard to compress
     for n in range(size.routes):
+        name = f"r-{chance.getrandbits(36):09x}"
+        prefix = f"/path{chance.getrandbits(24):06x}{n}/" if n else "/path00000/"
         routes[f"host-{n % 100:03d}.example"].append({
-            "Name": f"r-{n:05d}", "Pfx": f"/path{n:05d}/", "Type": ("idem", "once")[n % 2],
+            "Name": name, "Pfx": prefix, "Type": ("idem", "once")[n % 2],
             "Tmo": f"{2000 + version}ms", "Goal": "500ms", "Prio": n % 4, "Tries": 2,
             "Svc": f"svc-{n % size.services:03d}",
         })  # fmt: skip
