--- a/pinward/command/gateway.py
+++ b/pinward/command/gateway.py
@@ -298,7 +298,7 @@
 def scale(
     *, fronts: int = 30, machines: int = 100, services: int = 10, routes: int = 100, cores: int = 3,
     requests: float = 0.0, window_s: float = 15.0, most_s: float = 240.0, profile: Path | None = None,
-    pieces: bool = False, as_json: bool = False,
+    pieces: bool = False, fit: Path | None = None, as_json: bool = False,
 ) -> int:  # fmt: skip
     """Measures real exchanges and switchboards on loopback beside hollow fronts and machines.
 
@@ -314,12 +314,17 @@
     :param window_s: seconds that are measured at a time
     :param most_s: seconds that the run may take
     :param profile: runs the exchanges under cProfile and leaves profiles and logs in this folder
+    :param fit: runs nothing, but fits slopes to the runs in this folder, as --as-json printed them
     :param pieces: runs nothing, but measures the pieces of work at that size, one by one
     :param as_json: prints JSON
     """
     found, apart = stand_in("gateway_scale"), stand_in("gateway_pieces") if pieces else None
     if found is None or (pieces and apart is None):
         return 1
+    if fit is not None:
+        slopes = found.fitted([json.loads(file.read_text()) for file in sorted(fit.glob("*.json"))])
+        print(json.dumps(slopes, indent=None if as_json else 1))
+        return 0
     size = found.Size(
         fronts=fronts, machines=machines, services=services, routes=routes, cores=cores,
         requests=requests, window_s=window_s, most_s=most_s, profile=profile is not None,
--- a/standin/gateway_scale.py
+++ b/standin/gateway_scale.py
@@ -147,6 +147,54 @@
     return {"each": line.slope, "base": line.intercept, "power": round(power, 2)}
 
 
+def least(rows: list[list[float]], values: list[float]) -> list[float]:
+    """Factors whose sums over each row come nearest to the values, by relative error.
+
+    Raises ZeroDivisionError where the rows don't tell the factors apart.
+    """
+    some = [[x / y for x in row] + [1.0] for row, y in zip(rows, values, strict=True)]
+    width = len(rows[0])
+    table = [[sum(r[i] * r[j] for r in some) for j in range(width + 1)] for i in range(width)]
+    for i in range(width):
+        best = max(range(i, width), key=lambda k: abs(table[k][i]))
+        table[i], table[best] = table[best], table[i]
+        table[i] = [x / table[i][i] for x in table[i]]
+        for k in range(width):
+            if k != i:
+                table[k] = [x - table[k][i] * y for x, y in zip(table[k], table[i], strict=True)]
+    return [row[width] for row in table]
+
+
+def fitted(runs: list[dict[str, Any]]) -> dict[str, Any]:
+    """What the exchanges' processor time at rest is made of, over runs of several sizes: milliseconds a call,
+    a pull, and a pull and machine; for each run the measured and the fitted share of a core, all together."""
+    rows, values, sizes = [], [], []
+    for run in runs:
+        rest = run.get("rest")
+        if rest is None:
+            continue
+        cores = [told for ip, told in rest["processes"].items() if "desks" in told or "links" in told]
+        calls, pulls = rest["machines"].get("calls", 0.0), rest["fronts"].get("pulls", 0.0)
+        rows.append([1.0, calls, pulls, pulls * run["size"]["machines"]])
+        values.append(sum(told["cpu"] for told in cores))
+        sizes.append(f"{run['size']['fronts']} fronts, {run['size']['machines']} machines")
+    base, call, pull, look = least(rows, values)
+    each = {
+        "base_cores": base,
+        "call_ms": 1000 * call,
+        "pull_ms": 1000 * pull,
+        "pull_machine_ms": 1000 * look,
+    }
+    sums = [sum(x * f for x, f in zip(row, (base, call, pull, look), strict=True)) for row in rows]
+    return {
+        **{name: float(f"{value:.3g}") for name, value in each.items()},
+        "runs": [
+            {"size": size, "cores": round(value, 3), "fitted": round(told, 3)}
+            for size, value, told in zip(sizes, values, sums, strict=True)
+        ],
+    }  # fmt: skip
+
+
 class Child:
     """One process of hollow ones, asked in lines of JSON."""
 
--- a/tests/test_gateway_scale.py
+++ b/tests/test_gateway_scale.py
@@ -26,7 +26,7 @@
     Times,
     later,
 )
-from standin.gateway_scale import Size, grown, parts, plan, shares, slope, sockets
+from standin.gateway_scale import Size, grown, least, parts, plan, shares, slope, sockets
 from standin.virtual import Dial, Process, played
 from standin.works import Kind
 
@@ -49,6 +49,12 @@
         self.assertThat((round(found["each"], 6), round(found["base"], 6)), Equals((2.0, 5.0)))
         self.assertThat(slope([(n, 3.0 * n * n) for n in (1, 3, 9)])["power"], Equals(2.0))
 
+    def test_what_a_sum_is_made_of(self) -> None:
+        rows = [[1.0, float(a), float(b), float(a * b)] for a in (1, 5, 9) for b in (2, 4, 7)]
+        values = [0.5 + 2 * a + 3 * b + 0.25 * ab for _, a, b, ab in rows]
+        self.assertThat([round(x, 6) for x in least(rows, values)], Equals([0.5, 2.0, 3.0, 0.25]))
+        self.assertRaises(ZeroDivisionError, least, [[1.0, 1.0], [2.0, 2.0]], [1.0, 2.0])
+
     def test_all_are_shared_out_once(self) -> None:
         for count, most in ((0, 4), (1, 4), (790, 4), (7, 3)):
             some = [n for a, b in shares(count, 200, most) for n in range(a, b)]
