A dial that was given up before its answer is no fault of the exchange: no traceback each

Cause: a front gives a dial up after 0.3 s; the websocket's answer then meets a closed connection, and aiohttp logs the handler's ConnectionResetError with 40 lines of traceback. Change: on_inner takes it as what it is. Test first: it failed with ConnectionResetError.

--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -151,7 +151,13 @@
 
     async def on_inner(self, request: BaseRequest) -> Any:
         handler = {LINK: self.on_link, DESK: self.desk.on_desk}.get(request.path)
-        return await handler(request) if handler is not None else Response(status=404)
+        if handler is None:
+            return Response(status=404)
+        try:
+            return await handler(request)
+        except ConnectionError:
+            # Who dialled went elsewhere. Harm: a traceback each, for thousands a second at a start of all.
+            return Response(status=503)
 
     async def on_link(self, request: BaseRequest) -> WebSocketResponse:
         ws = await taken(request)
--- a/tests/test_gateway_scale.py
+++ b/tests/test_gateway_scale.py
@@ -5,15 +5,23 @@
 
 import asyncio
 import json
+import tempfile
+from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
+from unittest import mock
 
 import logbook
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, HasLength, MatchesDict
 
 from pinward.directory.entry import Standing
+from pinward.exchange.host import Exchange
+from pinward.exchange.keeper import Kept, View
+from pinward.exchange.vault import Vault
+from pinward.plan.boot import boot_of
 from pinward.plan.schema import plan_of
+from pinward.trunk.link import DESK
 from pinward.trunk.session import Session
 from standin.exchange_day import Class, Day, Shape
 from standin.gateway_hollow import (
@@ -26,6 +34,7 @@
     Times,
     later,
 )
+from standin.gateway_rig import Rig
 from standin.gateway_scale import Size, grown, least, parts, plan, shares, slope, sockets
 from standin.virtual import Dial, Process, played
 from standin.works import Kind
@@ -155,6 +164,24 @@
         self.assertThat(times.at.get("all machines"), Equals(None))
 
 
+class Herd(TestCase):
+    def test_a_front_that_dials_and_goes_elsewhere_is_no_fault(self) -> None:
+        """Thousands a second do as exchanges start: each must not become a traceback in the log."""
+
+        async def work() -> int:
+            rig = Rig(Path(folder), 1, 0)
+            boot = boot_of(json.loads(rig.settings(rig.cores[0]).read_text())).unwrap()
+            founders = tuple(rig.cores)
+            kept = Kept(0, View(0, "", founders, founders), False)
+            exchange = Exchange(boot, Vault(rig.folder), kept, 0.0, "l1")
+            gone: Any = SimpleNamespace(path=DESK)
+            with mock.patch("pinward.exchange.desk.taken", side_effect=ConnectionResetError):
+                return int((await exchange.on_inner(gone)).status)
+
+        with tempfile.TemporaryDirectory() as folder:
+            self.assertThat(asyncio.run(work()), Equals(503))
+
+
 class Calls(TestCase):
     def test_each_request_is_answered_by_its_own_id(self) -> None:
         server, written = Server(), []
