--- a/pinward/command/gateway.py
+++ b/pinward/command/gateway.py
@@ -297,8 +297,8 @@
 
 def scale(
     *, fronts: int = 30, machines: int = 100, services: int = 10, routes: int = 100, cores: int = 3,
-    requests: float = 0.0, window_s: float = 15.0, most_s: float = 240.0, profile: Path | None = None,
-    pieces: bool = False, fit: Path | None = None, as_json: bool = False,
+    requests: float = 0.0, ramp_s: float = 0.3, window_s: float = 15.0, most_s: float = 240.0,
+    profile: Path | None = None, pieces: bool = False, fit: Path | None = None, as_json: bool = False,
 ) -> int:  # fmt: skip
     """Measures real exchanges and switchboards on loopback beside hollow fronts and machines.
 
@@ -311,6 +311,7 @@
     :param routes: routes of the configuration
     :param cores: exchanges
     :param requests: requests a second to one real switchboard; machines, 250 at most, then answer them
+    :param ramp_s: seconds over which hollow fronts and machines begin; all at once by default
     :param window_s: seconds that are measured at a time
     :param most_s: seconds that the run may take
     :param profile: runs the exchanges under cProfile and leaves profiles and logs in this folder
@@ -327,7 +328,7 @@
         return 0
     size = found.Size(
         fronts=fronts, machines=machines, services=services, routes=routes, cores=cores,
-        requests=requests, window_s=window_s, most_s=most_s, profile=profile is not None,
+        requests=requests, ramp_s=ramp_s, window_s=window_s, most_s=most_s, profile=profile is not None,
     )  # fmt: skip
     if apart is not None:
         told = apart.measure(size)
