--- a/pinward/command/gateway.py
+++ b/pinward/command/gateway.py
@@ -23,6 +23,7 @@
 
 PAGE = Path(__file__).parents[2] / "docs" / "operate" / "events.md"
 ONCE = ("start", "short", "configuration", "drain", "requests", "primary_killed", "all_killed", "ended")
+DRAWN = Path("found") / "days"  # where drawn days and the lines of their results go
 ANSWER_S = 3.0  # s for an exchange to answer
 
 
@@ -191,6 +192,27 @@
     return int(any(row["over"] or row["broken"] for row in rows))
 
 
+def operators(*, seeds: int = 20, first: int = 0, plant: str = "none", as_json: bool = False) -> int:
+    """Plays operators that race, lose answers and repeat, in simulated time, and judges all that they saw.
+
+    Exit 0 where nothing broke, or a planted error was found; else 1.
+
+    :param seeds: days of each sort of trouble
+    :param first: the first seed
+    :param plant: an error to plant: by-number, refused, again, late or unconfirmed
+    :param as_json: prints JSON
+    """
+    found = stand_in("operators")
+    if found is None:
+        return 1
+    if plant not in ("none", *found.PLANTS):
+        print(f"pinward: plant: must be one of none, {', '.join(found.PLANTS)}, not {plant}", file=sys.stderr)
+        return 2
+    rows = found.drill(seeds, first, plant)
+    table(rows, as_json)
+    return int(any(row["broken"] for row in rows) != (plant != "none"))
+
+
 def news(*, fronts: int = 12, machines: int = 40, routes: int = 350, as_json: bool = False) -> int:
     """Counts the bytes that exchanges tell a front: at rest, for a drain, for a configuration.
 
@@ -274,6 +296,87 @@
     return int(bool(faults))
 
 
+def draw(site: Path, *, seed: int = 0, days: int = 10, into: Path = DRAWN, pairs: bool = False) -> int:
+    """Writes days for the users' bench: troubles of all kinds by chance, one seed a day.
+
+    Exit 2 where the site's file is faulty or has a kind of trouble that is not known here.
+
+    :param site: the site's file, which has places, services, traffic and floors
+    :param seed: the first seed; days with an even one replace core machines
+    :param days: how many
+    :param into: the folder they go to
+    :param pairs: puts two of the five hard points together each day, at the worst moment
+    """
+    found = stand_in("day_draw")
+    if found is None:
+        return 1
+    told_site = found.read(site)
+    if told_site.is_err():
+        print(f"pinward: {told_site.unwrap_err()}", file=sys.stderr)
+        return 2
+    for file in found.write(told_site.unwrap(), range(seed, seed + days), into, pairs):
+        print(file)
+    return 0
+
+
+def hunt(
+    bench: Path, *, site: list[Path], day: list[Path], jobs: int = 3, for_s: float = 1800.0,
+    results: Path = DRAWN / "results.txt",
+) -> int:  # fmt: skip
+    """Plays drawn days on the users' bench, and keeps a line of each with its score, gate and broken rules.
+
+    Exit 1 where a day failed the gate or was not played.
+
+    :param bench: the bench's program
+    :param site: files of the sites that days were drawn from
+    :param day: files of days
+    :param jobs: days beside one another; one takes about two processors
+    :param for_s: s after which no day is begun
+    :param results: where lines are added
+    """
+    found, drawn = stand_in("day_hunt"), stand_in("day_draw")
+    if found is None or drawn is None:
+        return 1
+    sites = {}
+    for path in site:
+        told_site = drawn.read(path)
+        if told_site.is_err():
+            print(f"pinward: {told_site.unwrap_err()}", file=sys.stderr)
+            return 2
+        sites[told_site.unwrap()["name"]] = path.resolve()
+    strange = [file for file in day if not any(file.name.startswith(f"{name}-") for name in sites)]
+    if strange:
+        print(f"pinward: {strange[0]}: the name of no site told begins its name", file=sys.stderr)
+        return 2
+    played = found.hunt(bench, sites, day, jobs, for_s, results)
+    fell = [line for line in played if line.gate != "passed"]
+    print(f"{len(played)} of {len(day)} days played, {len(fell)} not passed")
+    return int(bool(fell))
+
+
+def changes(
+    *, seeds: int = 3, first: int = 0, count: int = 1000, jobs: int = 3, returns: bool = False,
+    as_json: bool = False,
+) -> int:  # fmt: skip
+    """Plays changes with restarts, lost disks and cuts in simulated time: what is held, on disk and sent.
+
+    Exit 1 where a copy differed from what is, or held what has been.
+
+    :param seeds: how many days
+    :param first: the first seed
+    :param count: changes a day; a row is shown at a tenth of them and at all
+    :param jobs: processors to use
+    :param returns: shows instead how soon fronts that are behind or start know all, on 2 Mbit/s each
+    :param as_json: prints JSON
+    """
+    found = stand_in("changes")
+    if found is None:
+        return 1
+    rows = found.returns() if returns else found.measure(seeds, first, count, jobs)
+    table(rows, as_json)
+    return int(any(row.get("faults") for row in rows))
+
+
 def model(*, states: int = 20_000, plant: str = "none", as_json: bool = False) -> int:
     """Explores the control state: every order of words, ticks, restarts and lost disks, within bounds.
 
@@ -350,7 +453,10 @@
 
 def run(words: list[str]) -> int:
     """Runs the words after `pinward gateway`; the exit status."""
-    calls = (check, show, rolls, events, drill, news, trials, load, model, day, scale)
+    calls = (
+        check, show, rolls, events, drill, operators, news, trials, load, model, day, draw, hunt, changes,
+        scale,
+    )  # fmt: skip
     names = {word.__name__.replace("_", "-"): word for word in calls}
     done: Any = defopt.run(names, argv=words, short={}, argparse_kwargs={"prog": "pinward gateway"})
     return int(done)
