Runs of the scale run on; a run that is not at rest makes no slope

Cause: cold starts at 300 fronts and more with 3,000 machines do not settle; their windows say nothing of rest.

--- a/tests/test_gateway_scale.py
+++ b/tests/test_gateway_scale.py
@@ -35,7 +35,7 @@
     later,
 )
 from standin.gateway_rig import Rig
-from standin.gateway_scale import Size, grown, least, parts, plan, shares, slope, sockets
+from standin.gateway_scale import Size, fitted, grown, least, parts, plan, shares, slope, sockets
 from standin.virtual import Dial, Process, played
 from standin.works import Kind
 
@@ -64,6 +64,23 @@
         self.assertThat([round(x, 6) for x in least(rows, values)], Equals([0.5, 2.0, 3.0, 0.25]))
         self.assertRaises(ZeroDivisionError, least, [[1.0, 1.0], [2.0, 2.0]], [1.0, 2.0])
 
+    def test_a_run_that_is_not_at_rest_makes_no_slope(self) -> None:
+        def run(fronts: int, machines: int, answered: float) -> dict[str, Any]:
+            calls, pulls = machines / 1.5, fronts / 0.8
+            cpu = 0.1 + 0.0002 * calls + 0.0003 * pulls + 1e-7 * pulls * machines
+            return {
+                "size": {"fronts": fronts, "machines": machines},
+                "rest": {
+                    "processes": {"x": {"cpu": cpu if answered else 3.0, "links": 4}, "y": {"cpu": 9.0}},
+                    "machines": {"calls": calls, "taken": answered * calls}, "fronts": {"pulls": pulls},
+                },
+            }  # fmt: skip
+
+        sizes = ((30, 100), (30, 3000), (300, 100), (300, 1000))
+        told = fitted([*(run(f, m, 1.0) for f, m in sizes), run(790, 10000, 0.0), {"size": {}}])
+        self.assertThat((told["call_ms"], told["pull_ms"], told["pull_machine_ms"]), Equals((0.2, 0.3, 1e-4)))
+        self.assertThat(told["runs"], HasLength(4))
+
     def test_all_are_shared_out_once(self) -> None:
         for count, most in ((0, 4), (1, 4), (790, 4), (7, 3)):
             some = [n for a, b in shares(count, 200, most) for n in range(a, b)]
