--- a/tests/test_gateway_orders.py
+++ b/tests/test_gateway_orders.py
@@ -16,6 +16,7 @@
 from pinward.exchange.forward import KEPT_MOST, KEPT_S, Fate, Incoming, Outgoing
 from pinward.exchange.host import Exchange
 from pinward.trial.order import Order, Stage
+from standin.day_records import kept
 from standin.linearizable import Operation, Register, Rollouts, UndecidedError, linearizable
 from standin.operators import PLANTS, Operators, drawn, judged, late, play, woken
 
@@ -133,7 +134,7 @@
 
     def alone(self, troubles: Troubles, **more: Any) -> Operators:
         crowd = play(1, 0.1, troubles, count=0, **more)
-        self.assertThat(judged(crowd.sends), Equals([]))
+        self.assertThat([*judged(crowd.sends), *crowd.day.net.faults], Equals([]))
         return crowd
 
     def test_one_body_a_number_and_its_repeat_from_any_machine_at_any_time(self) -> None:
@@ -161,9 +162,9 @@
             await asyncio.sleep(3.0)
             await each(one, other)
             for ip in day.core_ips:  # what a build without digests had kept
-                for kept in (day.hosts[ip][1].keeper.kept.items, day.hosts[ip][1].keeper.public):
-                    if "plan" in kept:
-                        kept["plan"][2] = {k: v for k, v in kept["plan"][2].items() if k != "digest"}
+                for items in (day.hosts[ip][1].keeper.kept.items, day.hosts[ip][1].keeper.public):
+                    if "plan" in items:
+                        items["plan"][2] = {k: v for k, v in items["plan"][2].items() if k != "digest"}
             await each(one, other)
 
         self.alone(troubles)
@@ -186,6 +187,25 @@
         self.alone(troubles)
         self.assertThat(statuses, Equals([200, 409, 200, 409]))
 
+    def test_of_two_bodies_one_wins_whenever_the_primary_is_lost(self) -> None:
+        winners: list[str] = []
+
+        async def troubles(crowd: Operators) -> None:
+            lead, bodies = crowd.day.primary() or "", [crowd.plan(2, name) for name in ("one", "other")]
+            others = [ip for ip in crowd.day.core_ips if ip != lead]
+            some = [crowd.day.spawn(crowd.order("PUT", "/cfg", bodies[0], fronts=[lead, *others]))]
+            await asyncio.sleep(self.at_s)
+            crowd.day.kill(lead, 2.0, power=True)
+            some.append(crowd.day.spawn(crowd.order("PUT", "/cfg", bodies[1], fronts=others)))
+            sends = await asyncio.gather(*some)
+            self.assertThat(sorted(sent.status for sent in sends), Equals([200, 409]))
+            winners.append(next(sent.order for sent in sends if sent.status == 200))
+
+        for ms in range(14):
+            self.at_s = ms / 1000
+            self.alone(troubles)
+        self.assertThat(len(set(winners)), Equals(2))  # the loss came before and after the write
+
     def test_a_repeat_of_an_older_order_is_acknowledged_and_starts_nothing(self) -> None:
         seen: list[tuple[int, str]] = []
         last: list[Order] = []
@@ -234,6 +254,18 @@
             self.assertThat(judged(crowd.sends, 1.005), Equals([]))
             self.assertThat({s.status for s in crowd.sends if s.order.startswith("late")}, Equals({503}))
 
+    def test_an_order_whose_caller_has_hung_up_does_nothing(self) -> None:
+        async def troubles(crowd: Operators) -> None:
+            body = {"Svc": "reads", "Target": "v2", "Over": "4s"}
+            for front in crowd.day.core_ips:
+                await crowd.day.send(front, "POST", "/rolls", body, "late", gone=True)
+                await crowd.day.send(front, "PUT", "/cfg", crowd.plan(2, "late"), "late", gone=True)
+            host = crowd.day.hosts[crowd.day.primary() or ""][1]
+            self.assertThat(list(host.keeper.kept.items), Equals(["plan"]))
+            self.assertThat(host.keeper.public["plan"][2]["version"], Equals(1))
+
+        self.alone(troubles)
+
     def test_a_read_that_outlasts_the_lease_is_not_shown(self) -> None:
         shown: list[int] = []
 
@@ -280,7 +312,7 @@
         for seed in range(12):
             crowd = play(seed, 12.0, drawn, ack_lost=0.4, cores=5 if seed % 4 == 0 else 3)
             self.assertThat(judged(crowd.sends), Equals([]), f"seed {seed}")
-            self.assertThat([f for _, what, f in crowd.day.events if what == "fault"], Equals([]))
+            self.assertThat([*crowd.day.net.faults, *kept(crowd.day)], Equals([]))
             clear += sum(sent.clear for sent in crowd.sends)
         self.assertThat(clear, GreaterThan(800))
         for seed in range(3):
