--- a/pinward/command/gateway.py
+++ b/pinward/command/gateway.py
@@ -22,6 +22,7 @@
 from pinward.plan.schema import plan_of
 
 PAGE = Path(__file__).parents[2] / "docs" / "operate" / "events.md"
+ONCE = ("start", "short", "configuration", "drain", "requests", "primary_killed", "all_killed", "ended")
 DRAWN = Path("found") / "days"  # where drawn days and the lines of their results go
 ANSWER_S = 3.0  # s for an exchange to answer
 
@@ -403,10 +404,64 @@
     return int((found["broken"] is None) != (plant == "none"))
 
 
+def scale(
+    *, fronts: int = 30, machines: int = 100, services: int = 10, routes: int = 100, cores: int = 3,
+    requests: float = 0.0, ramp_s: float = 0.3, window_s: float = 15.0, most_s: float = 240.0,
+    profile: Path | None = None, pieces: bool = False, fit: Path | None = None, as_json: bool = False,
+) -> int:  # fmt: skip
+    """Measures real exchanges and switchboards on loopback beside hollow fronts and machines.
+
+    Prints each process's load in a settled window, while machines restart, and how long changes and losses
+    take. Exit 1 where the run ended early or a front was never told of all machines.
+
+    :param fronts: hollow fronts
+    :param machines: hollow machines
+    :param services: their services
+    :param routes: routes of the configuration
+    :param cores: exchanges
+    :param requests: requests a second to one real switchboard; machines, 250 at most, then answer them
+    :param ramp_s: seconds over which hollow fronts and machines begin; all at once by default
+    :param window_s: seconds that are measured at a time
+    :param most_s: seconds that the run may take
+    :param profile: runs the exchanges under cProfile and leaves profiles and logs in this folder
+    :param fit: runs nothing, but fits slopes to the runs in this folder, as --as-json printed them
+    :param pieces: runs nothing, but measures the pieces of work at that size, one by one
+    :param as_json: prints JSON
+    """
+    found, apart = stand_in("gateway_scale"), stand_in("gateway_pieces") if pieces else None
+    if found is None or (pieces and apart is None):
+        return 1
+    if fit is not None:
+        slopes = found.fitted([json.loads(file.read_text()) for file in sorted(fit.glob("*.json"))])
+        print(json.dumps(slopes, indent=None if as_json else 1))
+        return 0
+    size = found.Size(
+        fronts=fronts, machines=machines, services=services, routes=routes, cores=cores,
+        requests=requests, ramp_s=ramp_s, window_s=window_s, most_s=most_s, profile=profile is not None,
+    )  # fmt: skip
+    if apart is not None:
+        told = apart.measure(size)
+        print(json.dumps(told) if as_json else "\n".join(f"{v:12.4f}  {k}" for k, v in told.items()))
+        return 0
+    run = found.measure(size, profile)
+    if as_json:
+        print(json.dumps(run))
+    else:
+        for name in ("rest", "churn"):
+            if name in run:
+                print(f"{name}, load {run[name]['load']:.1f}:")
+                table(found.rows(run, name), False)
+        for name in ONCE:
+            if name in run:
+                print(f"{name}: {json.dumps(run[name])}")
+    return int("ended" in run or bool(run["short"]["fronts"]))
+
+
 def run(words: list[str]) -> int:
     """Runs the words after `pinward gateway`; the exit status."""
     calls = (
-        check, show, rolls, events, drill, operators, news, trials, load, model, day, draw, hunt, changes
+        check, show, rolls, events, drill, operators, news, trials, load, model, day, draw, hunt, changes,
+        scale,
     )  # fmt: skip
     names = {word.__name__.replace("_", "-"): word for word in calls}
     done: Any = defopt.run(names, argv=words, short={}, argparse_kwargs={"prog": "pinward gateway"})
