--- a/pinward/command/gateway.py
+++ b/pinward/command/gateway.py
@@ -426,7 +426,11 @@
     if found is None or (pieces and apart is None):
         return 1
     if fit is not None:
-        slopes = found.fitted([json.loads(file.read_text()) for file in sorted(fit.glob("*.json"))])
+        try:
+            slopes = found.fitted([json.loads(file.read_text()) for file in sorted(fit.glob("*.json"))])
+        except (ValueError, ZeroDivisionError, KeyError) as why:
+            print(f"pinward: {fit}: {why}", file=sys.stderr)
+            return 1
         print(json.dumps(slopes, indent=None if as_json else 1))
         return 0
     size = found.Size(
--- a/standin/gateway_scale.py
+++ b/standin/gateway_scale.py
@@ -37,6 +37,7 @@
 REQUEST_CONNECTIONS = 32  # that requests to one switchboard come over
 CALL_S = 1.0  # s that the operator waits for an answer
 SETTLE_S = 6.0  # s after the start until the settled window begins
+FACTORS = 4  # that a fit tells apart
 SETTLED = 0.99  # of the beats that are answered, from which on a window counts as at rest
 STILL_S = 10.0  # s without one more front that tells of something until no more are waited for
 GIVEN_UP_S = 60.0  # s after which something counts as never come about
@@ -172,6 +173,7 @@
     a pull, and a pull and machine; for each run the measured and the fitted share of a core, all together.
 
     A run in which one beat in a hundred went unanswered is not at rest and is left out.
+    Raises ValueError where too few are left.
     """
     rows, values, sizes = [], [], []
     for run in runs:
@@ -183,6 +185,8 @@
         rows.append([1.0, calls, pulls, pulls * run["size"]["machines"]])
         values.append(sum(told["cpu"] for told in cores))
         sizes.append(f"{run['size']['fronts']} fronts, {run['size']['machines']} machines")
+    if len(rows) <= FACTORS:
+        raise ValueError(f"{len(rows)} runs at rest are too few to tell four factors apart")
     base, call, pull, look = least(rows, values)
     each = {
         "base_cores": base,
--- a/tests/test_gateway_scale.py
+++ b/tests/test_gateway_scale.py
@@ -76,10 +76,11 @@
                 },
             }  # fmt: skip
 
-        sizes = ((30, 100), (30, 3000), (300, 100), (300, 1000))
+        sizes = ((30, 100), (30, 3000), (300, 100), (300, 1000), (100, 300))
         told = fitted([*(run(f, m, 1.0) for f, m in sizes), run(790, 10000, 0.0), {"size": {}}])
         self.assertThat((told["call_ms"], told["pull_ms"], told["pull_machine_ms"]), Equals((0.2, 0.3, 1e-4)))
-        self.assertThat(told["runs"], HasLength(4))
+        self.assertThat(told["runs"], HasLength(5))
+        self.assertRaises(ValueError, fitted, [run(f, m, 1.0) for f, m in sizes[:4]])
 
     def test_all_are_shared_out_once(self) -> None:
         for count, most in ((0, 4), (1, 4), (790, 4), (7, 3)):
