--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 from concurrent.futures import ThreadPoolExecutor
+from math import inf
 from pathlib import Path
 from time import time
 from typing import Any
@@ -30,8 +31,9 @@
 from pinward.trunk.link import DESK, LINK, Dialler, Link, packed, taken, word_of
 
 DIGEST_S = 0.5  # s between two words on who was heard
+WHOLE_S = 1.2  # s with a primary until the book is whole again: two digests, and what they make it ask for
 REREAD_S = 2.0  # s between looks at the settings file, which may change without a signal
-HINT_S = 1.5  # s between two writings of the machines known
+HINT_S = (1.5, 15.0)  # s between two writings of the machines known, more with over a thousand
 HINT_OLD_S = 30.0  # s by the time of day after which a hint tells of machines that others may have forgotten
 SPREAD_S = 0.02  # s that changes of machines wait for others of the same moment
 WANT_S = 0.2  # s until the same control front is asked again for what is lacking: its answer is on its way
@@ -57,6 +59,7 @@
         self.saving = self.spreading = False
         self.tasks: set[asyncio.Task[Any]] = set()
         self.told_at, self.was_fresh = now, False
+        self.began = now
         self.watched, self.reread_at = Watched(), now
 
     def spawn(self, work: Any) -> asyncio.Task[Any]:
@@ -288,17 +291,21 @@
         self.keeper.tick(now)
         for peer in [peer for peer in self.links if peer not in self.keeper.peers]:
             self.drop(peer)
+        for peer in sorted(self.keeper.peers - self.links.keys()):
+            self.meet(peer)
         if self.keeper.fresh(now):
             self.fresh_at = now
         if self.keeper.fresh(now) != self.was_fresh:
             self.was_fresh = not self.was_fresh
+            self.whole_at = max(now + WHOLE_S, self.began + self.book.silent_s()) if self.was_fresh else inf
             self.turn()
         self.decide(now)
         if now >= self.told_at + DIGEST_S:
             since, self.told_at = self.told_at, now
             self.digest(now, since)
         if self.book.turn != self.hinted and now >= self.hint_at:
-            self.hint_at = now + HINT_S
+            # Guards against a processor busy with hints: ten thousand lives take tens of milliseconds.
+            self.hint_at = now + min(HINT_S[1], max(HINT_S[0], HINT_S[0] * len(self.book.lines) / 1000))
             if not self.hinting:  # one that hangs holds up no others behind it
                 self.hinted, self.hinting = self.book.turn, True
                 self.spawn(self.hint())
--- a/tests/test_gateway_days.py
+++ b/tests/test_gateway_days.py
@@ -84,6 +84,7 @@
                     if day["name"].startswith("drawn") and told["kind"] != "replace_core":
                         for field, (least, most) in kind.ranges.items():
                             self.assertThat(least <= told[field] <= most, Equals(True), told)
+                    self.assertThat({"gone", "all"} <= set(told["how"].split()), Equals(False), told)
                     seen.setdefault(told["kind"], set()).update(told["how"].split() or [""])
         self.assertThat(set(seen), Equals(set(day_draw.played_on(day_draw.read(self.site()).unwrap()))))
         self.assertNotIn("idle_race", seen)  # this site hasn't that part of the rules
@@ -115,6 +116,17 @@
             self.assertThat(day["traffic"][0]["per_s"], LessThan(100.0))
             self.assertThat(day["traffic"][0]["clients"], Equals(20))
 
+    def test_long(self) -> None:
+        """A day of three times the length has troubles in each third of it, and replacements where even."""
+        site = day_draw.read(self.site()).unwrap()
+        for seed in range(20):
+            day = day_draw.draw(site, seed, 3)
+            entries = day["plan"] + day["faults"]
+            thirds = [int(told["at"] * 3 / day["length_s"]) for told in entries]
+            self.assertThat(set(thirds), Equals({0, 1, 2}))
+            replaced = [told for told in entries if told["kind"] == "replace_core"]
+            self.assertThat(len(replaced) >= 6, Equals(seed % 2 == 0))
+
     def test_pairs(self) -> None:
         """Each two of the five points meet within the time that makes them one trouble."""
         days = [day for day in self.days() if day["name"].startswith("paired")]
@@ -175,6 +187,9 @@
             played[0].line(), MatchesRegex(r".* \| small-gw-drawn-6 \| seed 6 \| 0\.500 \| gate passed")
         )
         self.assertThat(day_hunt.hunt(bench, sites, files, 2, 0.0, results, say=len), HasLength(0))
+        (self.folder / "report.json").write_text(json.dumps({**REPORT, "G": None, "fault": "no start"}))
+        none = day_hunt.play(bench, sites["small-gw"], files[0], "build")
+        self.assertThat((none.score, none.gate, none.why), Equals((0.0, "failed", "fault: no start")))
         bench.write_text("#!/bin/sh\nexec cat /dev/zero >/dev/null\n")
         late = day_hunt.play(bench, sites["small-gw"], files[0], "build", limit_s=0.05)
         self.assertThat((late.gate, late.why), Equals(("not played", "given up after 0 s")))
