The test of hand-overs waits until the other member is heard

Cause: all parts may be owned by one member before the other is heard; then the move is refused, as it should be. Change: the test waits for the member first; what it asserts is as it was.

--- a/tests/test_owners_whole.py
+++ b/tests/test_owners_whole.py
@@ -128,6 +128,12 @@
         play = await self.begin()
         name, token = await self.owner_of(play, "watch")
         other = next(m for m in play.members if m != name)
+
+        async def heard() -> bool:
+            told = (await play.shown_by_leader()).get("members", {}).get(other, {"stand": "lost"})
+            return told["stand"] not in ("waiting", "lost")
+
+        self.assertTrue(await play.until(heard, 10.0))  # all may be owned by one member before it
         leader = await play.who_acts()
         assert leader is not None
         answer = await play.ask(leader, do="owners", what="move", part="watch", to=other)
