--- a/pinward/directory/sanctioned.py
+++ b/pinward/directory/sanctioned.py
@@ -10,9 +10,12 @@
 
 
 def base_of(entries: Iterable[Entry], *aside: str) -> str:
-    """The build that most machines of a service have, some builds aside; empty where none is known."""
+    """The build that most machines of a service have, some builds aside; empty where none is known.
+
+    Of two with as many the one whose name comes first: the new one is started beside as many of the old.
+    """
     builds = Counter(e.build for e in entries if e.standing is not Standing.GONE and e.build not in aside)
-    return max(builds, key=lambda build: (builds[build], build)) if builds else ""
+    return min(builds, key=lambda build: (-builds[build], len(build), build)) if builds else ""
 
 
 def earlier(entries: Iterable[Entry], last: Order | None, target: str) -> str:
