One piece holds work that outlasts its call; three stand-ins write a loop once

Cause: both hosts and the emulator each held tasks and told their faults alike; slow and lossy machines, two waits for a copy that catches up and two beginnings of a world stood twice. Change: pinward/tasks.py, whose owner says how a fault is told; one function each in the stand-ins. Two tests read the tasks of a front where they are now; what they assert is as it was.

--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -27,6 +27,7 @@
 from pinward.exchange.parts import PLAN, ROLL, TICK_S, Parts
 from pinward.exchange.vault import MACHINES, Vault
 from pinward.plan.boot import Boot, Watched
+from pinward.tasks import Tasks
 from pinward.trial.order import Order, Stage
 from pinward.trunk.link import DESK, LINK, Dialler, Link, packed, taken, word_of
 
@@ -57,21 +58,13 @@
         self.to_save: tuple[int, bytes] | None = None
         self.hinting = False
         self.saving = self.spreading = False
-        self.tasks: set[asyncio.Task[Any]] = set()
+        self.tasks = Tasks(self.fault)
         self.told_at, self.was_fresh = now, False
         self.began = now
         self.watched, self.reread_at = Watched(), now
 
-    def spawn(self, work: Any) -> asyncio.Task[Any]:
-        task = asyncio.ensure_future(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.ended)
-        return task
-
-    def ended(self, task: asyncio.Task[Any]) -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and (why := task.exception()) is not None:
-            ring(110, call=task.get_coro(), why=repr(why))
+    def fault(self, task: asyncio.Task[Any], why: BaseException) -> None:
+        ring(110, call=task.get_coro(), why=repr(why))
 
     # The keeper's orders.
 
@@ -91,7 +84,7 @@
                     ring(number, **facts)
         if self.to_save is not None and not self.saving:
             self.saving = True
-            self.spawn(self.save())
+            self.tasks.spawn(self.save())
 
     async def save(self) -> None:
         pause_s = SAVE_S[0]
@@ -153,7 +146,7 @@
 
         hello = {"t": "hello", "from": self.own, "life": self.life}
         self.links[peer] = Link(self.dialler, (peer, self.boot.inner), hello, up, down)
-        self.dials[peer] = self.spawn(self.links[peer].run())
+        self.dials[peer] = self.tasks.spawn(self.links[peer].run())
 
     def drop(self, peer: str) -> None:
         """Ends the link to a control front that is gone for good."""
@@ -255,7 +248,7 @@
                 if peer in self.links and not news.empty:
                     self.tell_lines(peer, news)
             case "call":
-                self.spawn(self.answers.answer_call(peer, word))
+                self.tasks.spawn(self.answers.answer_call(peer, word))
             case "reply":
                 self.answers.replied(peer, word)
             case "beat":
@@ -308,7 +301,7 @@
             self.hint_at = now + min(HINT_S[1], max(HINT_S[0], HINT_S[0] * len(self.book.lines) / 1000))
             if not self.hinting:  # one that hangs holds up no others behind it
                 self.hinted, self.hinting = self.book.turn, True
-                self.spawn(self.hint())
+                self.tasks.spawn(self.hint())
         self.carry()
 
     async def hint(self) -> None:
@@ -401,8 +394,7 @@
             await asyncio.sleep(TICK_S)  # in which the links take it to the others
         listener.close()
         await server.shutdown(STOP_S)
-        for task in self.tasks:
-            task.cancel()
+        self.tasks.cancel()
         if self.dialler is not None:
             await self.dialler.close()
 
@@ -416,7 +408,7 @@
                 self.book.restore(self.now(), hint["lines"])
             self.hinted = self.book.turn
         self.meet_all()
-        self.spawn(self.beat())
+        self.tasks.spawn(self.beat())
 
     def meet_all(self) -> None:
         """Opens links to all control fronts that the settings or the state name."""
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import os
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator
 from math import inf
 from random import Random
 from typing import Any
@@ -26,6 +26,7 @@
 from pinward.switchboard.verdict import BROKEN, End, ended
 from pinward.switchboard.wire import DEADLINE, NOT_RUN, WANT, Wire, passed_on
 from pinward.tally.tries import Tries
+from pinward.tasks import Tasks
 from pinward.trial.front import Trial
 from pinward.trial.order import Stage
 from pinward.trunk.link import Dialler
@@ -59,7 +60,7 @@
         self.ready = self.leaving = False
         self.known_once = asyncio.Event()
         self.open = 0
-        self.sends: set[asyncio.Task[None]] = set()
+        self.sends = Tasks(lambda _, why: ring(110, why=repr(why)))  # they may outlast their requests
         self.began = self.reread_at = 0.0
         self.watched = Watched()
         self.server: LineServer | None = None
@@ -260,22 +261,10 @@
                 continue
             work = self.send(request, headers.copy(), step, body, call, trial, sink)
             if call.route.repeatable:
-                sends.add(self.spawn(work))
+                sends.add(self.sends.spawn(work))
             else:
                 await work
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        """Work that may outlast the request it belongs to."""
-        task = asyncio.ensure_future(work)
-        self.sends.add(task)
-        task.add_done_callback(self.ended)
-        return task
-
-    def ended(self, task: asyncio.Task[None]) -> None:
-        self.sends.discard(task)
-        if not task.cancelled() and (why := task.exception()) is not None:
-            ring(110, why=repr(why))
-
     async def send(
         self, request: BaseRequest, headers: Any, step: Send, body: Any, call: Call, trial: Trial | None,
         sink: Sink,
--- a/standin/changes.py
+++ b/standin/changes.py
@@ -362,6 +362,21 @@
 PLANTS = ("none", "gap", "life", "lives", "floor", "whole")
 
 
+async def catches_up(world: World, book: Book, lead: Any, also: Callable[[], bool]) -> float:
+    """Seconds until a book holds all that the primary's held as this began, and `also` is true.
+
+    Changes go on meanwhile. 20 s at most.
+    """
+    began, aim = world.now(), dict(lead.book.seen)
+    while world.now() < began + 20.0:
+        await asyncio.sleep(0.01)
+        if int(100 * world.now()) % 10 == 0:
+            world.begin()
+        if not any(book.lacks(source, *seen) for source, seen in aim.items()) and also():
+            break
+    return round(world.now() - began, 2)
+
+
 def behind(changes: int, machines: int, routes: int, bits_s: float, seed: int = 1) -> dict[str, Any]:
     """A front cut off while so many changes are made, and then while they go on: seconds to catch up."""
 
@@ -384,17 +399,8 @@
             await asyncio.sleep(2.4)
             sent = day.net.told_bytes_to.get(front, 0)
             day.net.join(ways)
-            began, known = world.now(), day.hosts[front][1].known
-            lead = day.hosts[day.primary() or day.core_ips[0]][1]
-            aim = dict(lead.book.seen)
-            while world.now() < began + 20.0:
-                await asyncio.sleep(0.01)
-                if int(100 * world.now()) % 10 == 0:
-                    world.begin()
-                there = not any(known.book.lacks(source, *seen) for source, seen in aim.items())
-                if there and known.plan.version == 3:
-                    break
-            row["caught_up_s"] = round(world.now() - began, 2)
+            known, lead = day.hosts[front][1].known, day.hosts[day.primary() or day.core_ips[0]][1]
+            row["caught_up_s"] = await catches_up(world, known.book, lead, lambda: known.plan.version == 3)
             row["bytes"] = day.net.told_bytes_to.get(front, 0) - sent
 
         await world.play(work)
@@ -460,19 +466,15 @@
                 await asyncio.sleep(0.05)
             sent = day.net.told_bytes_to.get(late, 0)
             day.start(late)
-            began, host = world.now(), day.hosts[late][1]
-            lead = day.hosts[day.primary() or ""][1]
-            aim, items = dict(lead.book.seen), dict(lead.keeper.kept.items)
-            while world.now() < began + 20.0:
-                await asyncio.sleep(0.01)
-                if int(100 * world.now()) % 10 == 0:
-                    world.begin()
-                there = not any(host.book.lacks(source, *seen) for source, seen in aim.items())
-                if there and late in lead.keeper.view.copies + lead.keeper.view.voters and all(
+            host, lead = day.hosts[late][1], day.hosts[day.primary() or ""][1]
+            items = dict(lead.keeper.kept.items)
+
+            def counts() -> bool:
+                return late in lead.keeper.view.copies + lead.keeper.view.voters and all(
                     host.keeper.public.get(key, [0, 0])[:2] >= item[:2] for key, item in items.items()
-                ):  # fmt: skip
-                    break
-            row["caught_up_s"] = round(world.now() - began, 2)
+                )
+
+            row["caught_up_s"] = await catches_up(world, host.book, lead, counts)
             row["bytes"] = day.net.told_bytes_to.get(late, 0) - sent
 
         await world.play(work)
--- a/standin/day_file.py
+++ b/standin/day_file.py
@@ -92,22 +92,22 @@
         day.crash(machine, told["for_s"], silent=True)
 
 
-async def slow(day: Day, told: dict[str, Any]) -> None:
+async def faulty(day: Day, told: dict[str, Any], fault: str, much: float, sound: float) -> None:
+    """Some machines of a service have a fault for a time."""
     some = day.of(told["service"])[: told["count"]]
     for machine in some:
-        machine.slower = told["times"]
+        setattr(machine, fault, much)
     await asyncio.sleep(told["for_s"])
     for machine in some:
-        machine.slower = 1.0
+        setattr(machine, fault, sound)
+
+
+async def slow(day: Day, told: dict[str, Any]) -> None:
+    await faulty(day, told, "slower", told["times"], 1.0)
 
 
 async def lossy(day: Day, told: dict[str, Any]) -> None:
-    some = day.of(told["service"])[: told["count"]]
-    for machine in some:
-        machine.lost = told["share"]
-    await asyncio.sleep(told["for_s"])
-    for machine in some:
-        machine.lost = 0.0
+    await faulty(day, told, "lost", told["share"], 0.0)
 
 
 async def drain(day: Day, told: dict[str, Any]) -> None:
--- a/standin/exchange_day.py
+++ b/standin/exchange_day.py
@@ -26,6 +26,7 @@
 from pinward.plan.boot import Boot, boot_of
 from pinward.switchboard.host import Switchboard
 from pinward.switchboard.wire import DEADLINE, ID
+from pinward.tasks import Tasks
 from pinward.trunk.link import DESK, LINK
 from standin.virtual import Dial, Net, Process
 from standin.works import HOST, PREFIX, Bad, Kind, Lines, Machine, Works
@@ -165,10 +166,9 @@
     async def make_room(self) -> None:
         self.box.pop("book.", None)
 
-    def ended(self, task: asyncio.Task[Any]) -> None:
-        super().ended(task)
-        if not task.cancelled() and (why := task.exception()) is not None:
-            self.faults.append(repr(why))
+    def fault(self, task: asyncio.Task[Any], why: BaseException) -> None:
+        super().fault(task, why)
+        self.faults.append(repr(why))
 
 
 class Day:
@@ -189,7 +189,7 @@
         self.full_disks: set[str] = set()
         self.down: set[str] = set()  # fronts that the platform knows to be down
         self.asked: list[Asked] = []
-        self.tasks: set[asyncio.Task[Any]] = set()
+        self.tasks = Tasks(lambda _, why: self.saw("fault", why=repr(why)))
         self.machines: dict[str, Machine] = {}
         self.number = self.tried = self.orders = 0
         self.events: list[tuple[float, str, dict[str, Any]]] = []  # what operators and machines saw
@@ -209,15 +209,7 @@
         return 0.0001 if self.zone_of.get(ip) == zone else self.shape.zone_s
 
     def spawn(self, work: Any) -> asyncio.Task[Any]:
-        task = asyncio.ensure_future(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.done)
-        return task
-
-    def done(self, task: asyncio.Task[Any]) -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self.events.append((self.now(), "fault", {"why": repr(task.exception())}))
+        return self.tasks.spawn(work)
 
     def saw(self, what: str, **facts: Any) -> None:
         self.events.append((self.now(), what, facts))
--- a/standin/exchange_world.py
+++ b/standin/exchange_world.py
@@ -494,12 +494,18 @@
             world.after(2.0, lambda: setattr(world, "mangle", 0.0))
 
 
-def play(seed: int, size: int = 3, lost_most: int = 1, troubles: int = 4, mutate: Any = None) -> World:
-    """Some troubles in a row, each ended for the catch-up time before the next; then all must be well."""
+def begun(seed: int, size: int, lost_most: int, mutate: Any, every_s: float) -> World:
+    """A world with a primary and all its voters, operators at work."""
     world = World(seed, size, lost_most, mutate)
     if not (world.settles(4.0) and world.whole(4.0)):
         world.broken.append("no first primary, or too few voters")
-    world.operate(0.05)
+    world.operate(every_s)
+    return world
+
+
+def play(seed: int, size: int = 3, lost_most: int = 1, troubles: int = 4, mutate: Any = None) -> World:
+    """Some troubles in a row, each ended for the catch-up time before the next; then all must be well."""
+    world = begun(seed, size, lost_most, mutate, 0.05)
     for _ in range(troubles):
         world.until(world.now + world.chance.uniform(0.0, 0.3))
         trouble(world)
@@ -567,10 +573,7 @@
 
 def play_changes(seed: int, size: int = 3, lost_most: int = 1, changes: int = 5, mutate: Any = None) -> World:
     """Replacements, cuts and troubles that meet them; then the voters are as many as they should be."""
-    world = World(seed, size, lost_most, mutate)
-    if not (world.settles(4.0) and world.whole(4.0)):
-        world.broken.append("no first primary, or too few voters")
-    world.operate(0.1)
+    world = begun(seed, size, lost_most, mutate, 0.1)
     for _ in range(changes):
         world.until(world.now + world.chance.uniform(0.0, 0.3))
         world.until(world.now + change(world) + 5.0)
--- a/tests/test_gateway_verdicts.py
+++ b/tests/test_gateway_verdicts.py
@@ -395,7 +395,7 @@
         async def waits(machine: FaultyMachine, board: Any, stop: Any, writer: Any) -> None:
             writer.transport.pause_reading()
             await machine.arrived.wait()
-            while board.open or board.sends:
+            while board.open or board.sends.running:
                 await asyncio.sleep(0)
             writer.transport.abort()
 
@@ -411,7 +411,7 @@
             while len(machine.heads) < 2 or board.open:
                 await asyncio.sleep(0)
             gate.set()
-            while board.sends:
+            while board.sends.running:
                 await asyncio.sleep(0)
             writer.write(self.GET.replace(b"Id: 7", b"Id: 8") % 900 + b"Connection: close\r\n\r\n")
 
