A command's missing stand-in is told in one place

Cause: each of ten commands of the gateway looked for its stand-in and for its absence alike. Change: they call the rig of command/shown.py, and run() tells once what did not hold.

--- a/pinward/command/gateway.py
+++ b/pinward/command/gateway.py
@@ -10,7 +10,6 @@
 import urllib.error
 import urllib.request
 from pathlib import Path
-from types import ModuleType
 from typing import Any
 
 import defopt
@@ -162,15 +161,6 @@
     return "/".join(f"{v:g}" for v in value.values()) if isinstance(value, dict) else str(value)
 
 
-def stand_in(name: str) -> ModuleType | None:
-    """A module of the stand-ins; None, which is told, where this runs without the repository."""
-    try:
-        return rig(name)
-    except NotHeldError as why:
-        print(f"pinward: {why}", file=sys.stderr)
-        return None
-
-
 def drill(*, seeds: int = 100, first: int = 0, machines: int = 3, as_json: bool = False) -> int:
     """Loses core machines in simulated time: how long nobody leads, and until there are copies enough.
 
@@ -181,9 +171,7 @@
     :param machines: core machines, 3 or 5
     :param as_json: prints JSON
     """
-    found = stand_in("exchange_drill")
-    if found is None:
-        return 1
+    found = rig("exchange_drill")
     rows = found.losses(seeds, first, machines)
     table(rows, as_json)
     if not as_json:
@@ -202,9 +190,7 @@
     :param plant: an error to plant: by-number, refused, again, late or unconfirmed
     :param as_json: prints JSON
     """
-    found = stand_in("operators")
-    if found is None:
-        return 1
+    found = rig("operators")
     if plant not in ("none", *found.PLANTS):
         print(f"pinward: plant: must be one of none, {', '.join(found.PLANTS)}, not {plant}", file=sys.stderr)
         return 2
@@ -221,9 +207,7 @@
     :param routes: routes that the new configuration adds
     :param as_json: prints JSON
     """
-    found = stand_in("exchange_drill")
-    if found is None:
-        return 1
+    found = rig("exchange_drill")
     row = found.news(fronts, machines, routes)
     table([row], as_json)
     return int(row["fronts_without_plan"] > 0)
@@ -242,9 +226,7 @@
     :param alone: leaves the baselines out
     :param as_json: prints JSON
     """
-    found = stand_in("trial_drill")
-    if found is None:
-        return 1
+    found = rig("trial_drill")
     rows = found.measure(seeds, first, found.SIDES[:1] if alone else found.SIDES, jobs)
     table(rows, as_json)
     own = [row for row in rows if row["side"] == found.SIDES[0]]
@@ -259,9 +241,7 @@
     :param jobs: processors to use
     :param as_json: prints JSON
     """
-    found = stand_in("load_drill")
-    if found is None:
-        return 1
+    found = rig("load_drill")
     rows = found.measure(seeds, first, jobs)
     table(rows, as_json)
     return int(any(row["broken"] for row in rows if row["side"] == found.SIDES[0]))
@@ -276,9 +256,7 @@
     :param seed: another seed than the file's
     :param as_json: prints JSON
     """
-    found = stand_in("day_file")
-    if found is None:
-        return 1
+    found = rig("day_file")
     told_day = found.read(file)
     if told_day.is_err():
         print(told_day.unwrap_err(), file=sys.stderr)
@@ -313,9 +291,7 @@
     if not 1 <= times <= 10 or (times > 1 and pairs):
         print("pinward: times: must be 1 to 10, and 1 with --pairs", file=sys.stderr)
         return 2
-    found = stand_in("day_draw")
-    if found is None:
-        return 1
+    found = rig("day_draw")
     told_site = found.read(site)
     if told_site.is_err():
         print(f"pinward: {told_site.unwrap_err()}", file=sys.stderr)
@@ -340,9 +316,7 @@
     :param for_s: s after which no day is begun
     :param results: where lines are added
     """
-    found, drawn = stand_in("day_hunt"), stand_in("day_draw")
-    if found is None or drawn is None:
-        return 1
+    found, drawn = rig("day_hunt"), rig("day_draw")
     sites = {}
     for path in site:
         told_site = drawn.read(path)
@@ -375,9 +349,7 @@
     :param returns: shows instead how soon fronts that are behind or start know all, on 2 Mbit/s each
     :param as_json: prints JSON
     """
-    found = stand_in("changes")
-    if found is None:
-        return 1
+    found = rig("changes")
     rows = found.returns() if returns else found.measure(seeds, first, count, jobs)
     table(rows, as_json)
     return int(any(row.get("faults") for row in rows))
@@ -428,9 +400,7 @@
     :param pieces: runs nothing, but measures the pieces of work at that size, one by one
     :param as_json: prints JSON
     """
-    found, apart = stand_in("gateway_scale"), stand_in("gateway_pieces") if pieces else None
-    if found is None or (pieces and apart is None):
-        return 1
+    found, apart = rig("gateway_scale"), rig("gateway_pieces") if pieces else None
     if fit is not None:
         try:
             slopes = found.fitted([json.loads(file.read_text()) for file in sorted(fit.glob("*.json"))])
@@ -468,5 +438,9 @@
         scale,
     )  # fmt: skip
     names = {word.__name__.replace("_", "-"): word for word in calls}
-    done: Any = defopt.run(names, argv=words, short={}, argparse_kwargs={"prog": "pinward gateway"})
+    try:
+        done: Any = defopt.run(names, argv=words, short={}, argparse_kwargs={"prog": "pinward gateway"})
+    except NotHeldError as why:
+        print(f"pinward: {why}", file=sys.stderr)
+        return 1
     return int(done)
