Requests are forwarded by a module of their own, one object for each request

Cause: host.py held the process's life and the way of each request; what is to be known of a request whose client leaves had no place. Change: none of behaviour. forwarding.py holds Forwarder (what requests share) and ForwardedRequest (one request and its sends); host.py is the process. Tests name the moved fields.

--- /dev/null
+++ b/pinward/switchboard/forwarding.py
@@ -0,0 +1,238 @@
+"""Forwards clients' requests: reads and checks each one, then sends it as its `Call` says.
+
+`Forwarder` holds what all requests of a proxy share; `ForwardedRequest` drives the attempts of one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from math import inf
+from random import Random
+from typing import Any
+
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response, StreamResponse
+from multidict import CIMultiDict
+
+from pinward.annunciator import ring
+from pinward.plan.boot import Boot
+from pinward.switchboard.call import Call, Reply, Send, Wait
+from pinward.switchboard.kept import ID
+from pinward.switchboard.lines import Lines
+from pinward.switchboard.pipelining import READ_AT, ahead
+from pinward.switchboard.stream import Outlet, Sink
+from pinward.switchboard.verdict import BROKEN, End, ended
+from pinward.switchboard.wire import DEADLINE, NOT_RUN, WANT, Wire, passed_on
+from pinward.tally.tries import Tries
+from pinward.tasks import Tasks
+from pinward.trial.front import Trial
+from pinward.trunk.session import Known
+
+HELD_MOST = 256 * 1024  # bytes of a request's body held whole, so that it can be sent again
+DEADLINE_S = 30.0  # s a client waits that does not say how long
+UNKNOWN_S = 0.3  # s after which a client is told to come back to a front that knows no configuration yet
+SERVICES_SPARE = 64  # services of former configurations whose budget is remembered
+
+Body = bytes | AsyncIterator[bytes]
+
+
+def own_answer(status: int, retry_after_s: float | None = None) -> Response:
+    """An answer of the proxy itself."""
+    response = Response(status=status)
+    if retry_after_s is not None:
+        response.headers["Retry-After"] = f"{retry_after_s:.2f}"
+    return response
+
+
+def last_answer(status: int) -> Response:
+    """An answer of the proxy itself after which nothing more is read from the connection."""
+    response = own_answer(status)
+    response.force_close()
+    return response
+
+
+async def read_body(request: BaseRequest) -> tuple[Body, bool]:
+    """A request's body whole; or, where it is long, what has come and the rest as it comes, and True."""
+    parts, size = [], 0
+    async for part in request.content.iter_any():
+        parts.append(part)
+        size += len(part)
+        if size > HELD_MOST:
+            break
+    first = b"".join(parts)
+    if size <= HELD_MOST:
+        return first, False
+
+    async def rest() -> AsyncIterator[bytes]:
+        yield first
+        async for part in request.content.iter_any():
+            yield part
+
+    return rest(), True
+
+
+class Forwarder:
+    """What the requests of one proxy share."""
+
+    def __init__(
+        self, boot: Boot, known: Known, lines: Lines, trials: dict[str, Trial], chance: Random
+    ) -> None:  # fmt: skip
+        self.boot, self.known, self.lines, self.trials, self.chance = boot, known, lines, trials, chance
+        self.wire: Wire | None = None
+        self.tries: dict[str, Tries] = {}  # the retry budget of each service
+        self.open = 0  # requests that are not answered yet
+        self.calls: set[Call] = set()  # of these, the ones that were read and have a route
+        self.sends = Tasks(lambda _, why: ring(110, why=repr(why)))  # they may outlast their requests
+
+    @staticmethod
+    def now() -> float:
+        return asyncio.get_running_loop().time()
+
+    async def close(self) -> None:
+        """Ends the connections to machines."""
+        if self.wire is not None:
+            await self.wire.close()
+
+    def forget_former_services(self) -> None:
+        """Drops the budgets of services that the configuration no longer names, where there are many."""
+        plan = self.known.plan
+        if plan is not None and len(self.tries) > len(plan.services) + SERVICES_SPARE:
+            self.tries = {name: tries for name, tries in self.tries.items() if name in plan.services}
+
+    def budget(self, service: str) -> Tries:
+        """The retry budget of a service."""
+        tries = self.tries.get(service)
+        if tries is None:
+            tries = self.tries[service] = Tries(self.boot.bounds)
+        return tries
+
+    def give_up(self) -> None:
+        """Ends the time of all requests: they are answered at once, by what is known of their sends."""
+        for call in self.calls:
+            call.until = min(call.until, self.now())
+        self.sends.cancel()
+
+    def may_begin_ahead(self, message: Any) -> bool:
+        """True where a request may be begun before its turn: its route lets it run again."""
+        plan = self.known.plan
+        if plan is None:
+            return False
+        route = plan.route(message.headers.get("Host", ""), message.path.partition("?")[0])
+        return route is not None and route.repeatable
+
+    async def on_request(self, request: BaseRequest) -> StreamResponse:
+        """The answer to a client's request."""
+        self.open += 1
+        try:
+            return await self.serve(request)
+        except (ConnectionResetError, asyncio.CancelledError):
+            raise
+        except Exception as why:  # a fault of the program ends this request alone
+            ring(110, why=repr(why))
+            return own_answer(500)
+        finally:
+            self.open -= 1
+
+    async def serve(self, request: BaseRequest) -> StreamResponse:
+        plan, headers = self.known.plan, request.headers
+        read_at = request.get(READ_AT)  # the time a request waits behind another counts too
+        now = self.now() if read_at is None else read_at
+        if plan is None:
+            return own_answer(503, UNKNOWN_S)
+        raw = request.raw_path
+        if not raw.startswith("/") or "#" in raw:
+            return own_answer(400)
+        if "Transfer-Encoding" in headers and "Content-Length" in headers:
+            return last_answer(400)
+        route = plan.route(headers.get("Host", ""), raw.partition("?")[0])
+        if route is None:
+            return own_answer(404)
+        allow = headers.get(DEADLINE, "")
+        allow_s = int(allow) / 1000 if allow.isdecimal() else DEADLINE_S
+        if headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
+            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        body: Body = b""
+        call = Call(route, route.service(self.chance), now, allow_s)
+        if request.body_exists:
+            if (request.content_length or 0) > plan.body_bytes:
+                return last_answer(413)
+            try:
+                async with asyncio.timeout(call.until - now):
+                    body, call.streams = await read_body(request)
+            except TimeoutError:
+                return last_answer(408)  # nothing was sent on; a body that never ends held its place for ever
+        return await ForwardedRequest(self, request, call, body).answered()
+
+
+class ForwardedRequest:
+    """One client's request, from the time it was read to the end of its last send."""
+
+    def __init__(self, shared: Forwarder, request: BaseRequest, call: Call, body: Body) -> None:
+        self.shared, self.request, self.call, self.body = shared, request, call, body
+        self.budget = shared.budget(call.service)
+        self.sink = Sink(request, not ahead(request))
+        self.headers = passed_on(request.headers)
+        if call.streams and request.content_length is not None:
+            self.headers["Content-Length"] = str(request.content_length)
+        self.headers.popall("Expect", None)
+        self.sends: dict[Send, asyncio.Task[None]] = {}  # those under way
+
+    async def answered(self) -> StreamResponse:
+        """The request's answer. Raises ConnectionResetError where one broke off that had begun to go out."""
+        self.budget.request(self.shared.now())
+        self.shared.calls.add(self.call)
+        try:
+            return await self.until_answered()
+        finally:
+            self.shared.calls.discard(self.call)
+
+    async def until_answered(self) -> StreamResponse:
+        """Sends and waits as the call says, until it has its answer."""
+        shared, call = self.shared, self.call
+        while True:
+            if call.tried and self.request.transport is None:
+                self.sink.shut()
+                return own_answer(BROKEN)  # its client is gone: no further machine works for nobody
+            trial = shared.trials.get(call.service)
+            step = call.next(shared.now(), shared.lines, self.budget, trial)
+            if isinstance(step, Reply):
+                return await self.reply(step)
+            if isinstance(step, Wait):
+                most_s = step.most_s if step.most_s != inf else None
+                await asyncio.wait(
+                    self.sends.values(), timeout=most_s, return_when=asyncio.FIRST_COMPLETED
+                )  # fmt: skip
+                continue
+            self.sends[step] = shared.sends.spawn(self.send(step, trial))
+
+    async def send(self, step: Send, trial: Trial | None) -> None:
+        """One send, from its beginning to what it tells of its machine."""
+        shared, call, entry = self.shared, self.call, step.machine.entry
+        headers = self.headers.copy()
+        headers[DEADLINE] = str(max(1, int(step.allow_s * 1000)))
+        headers[WANT] = entry.iid
+        method = self.request.method
+        url = f"http://{entry.where[0]}:{entry.where[1]}{self.request.raw_path}"
+        fresh = shared.now() < step.machine.shaky_until and method not in ("GET", "HEAD")
+        fresh = fresh or ID not in headers  # by what else could its answer be known
+        assert shared.wire is not None
+        ending, outlet = ended(End.ABANDONED), Outlet(self.sink, call.final, lambda: call.passes_on(step))
+        try:
+            ending = await shared.wire.send(method, url, headers, self.body, step.allow_s, fresh, outlet)
+        finally:
+            self.sends.pop(step, None)
+            call.ended(shared.now(), shared.lines, step, ending, trial)
+        if ending.what in (End.ANOTHERS, End.SPOILT, End.CUT):
+            ring(310, iid=entry.iid, what=ending.what)
+
+    async def reply(self, reply: Reply) -> StreamResponse:
+        """The answer that goes to the client."""
+        sink = self.sink
+        if sink.opened:
+            return await sink.end(reply.ending is not None and reply.ending.streamed)
+        sink.shut()
+        if reply.ending is None:
+            return own_answer(reply.status, reply.back_s)
+        headers = CIMultiDict((key, value) for key, value in reply.ending.headers if key != NOT_RUN)
+        return Response(status=reply.status, body=reply.ending.body, headers=headers)
--- a/tests/test_gateway_unanswered.py
+++ b/tests/test_gateway_unanswered.py
@@ -117,7 +117,7 @@
             )
             reader, writer = await asyncio.open_connection(*EDGE)
             writer.write(GET.replace(b"Ms: 900", b"Ms: 9000").replace(b"/toy/", b"/book/"))
-            while not board.open:
+            while not board.forwarder.open:
                 await asyncio.sleep(0)
             route = board.known.plan.hosts["toy.example"]["/book/"]
             self.assertThat(route.timeout_s, GreaterThan(LAST_S - GIVE_UP_S))
--- a/tests/test_gateway_verdicts.py
+++ b/tests/test_gateway_verdicts.py
@@ -399,7 +399,7 @@
         async def waits(machine: FaultyMachine, board: Any, stop: Any, writer: Any) -> None:
             writer.transport.pause_reading()
             await machine.arrived.wait()
-            while board.open or board.sends.running:
+            while board.forwarder.open or board.forwarder.sends.running:
                 await asyncio.sleep(0)
             writer.transport.abort()
 
@@ -412,10 +412,10 @@
         gate = asyncio.Event()
 
         async def late(machine: FaultyMachine, board: Any, stop: Any, writer: Any) -> None:
-            while len(machine.heads) < 2 or board.open:
+            while len(machine.heads) < 2 or board.forwarder.open:
                 await asyncio.sleep(0)
             gate.set()
-            while board.sends.running:
+            while board.forwarder.sends.running:
                 await asyncio.sleep(0)
             writer.write(self.GET.replace(b"Id: 7", b"Id: 8") % 900 + b"Connection: close\r\n\r\n")
 
@@ -435,7 +435,7 @@
             while board.server.connections:
                 await asyncio.sleep(0)
             gate.set()
-            while board.open:
+            while board.forwarder.open:
                 await asyncio.sleep(0)
 
         act = Act(then=Then.RESET, gate=gate)
