Proxies tell figures of clients that left and of sends that outlive them

Cause: nothing told whether sends are not told of a leave, learn of it late, or begin after it. Change: /metrics at a proxy's Up address; counters of requests whose client left, sends under way then, and the two violations (at work half a second later, begun after it), with event 331. No change of what is sent or ended.

--- a/pinward/annunciator.py
+++ b/pinward/annunciator.py
@@ -71,6 +71,9 @@
                "Look at the machine where it repeats."),
     311: Event("INFO", "line left out", "A machine is left out after failures.", "Look at the machine."),
     320: Event("INFO", "trial vote", "A front votes on a build, with its evidence.", "Nothing."),
+    331: Event("ERROR", "work outlived its client",
+               "Sends went on half a second after their client had left, or began then (counts since start).",
+               "Report it, with the lines before it and the figures under /metrics."),
 }  # fmt: skip
 
 LOG = logbook.Logger("pinward")
--- a/pinward/common/server.py
+++ b/pinward/common/server.py
@@ -26,13 +26,41 @@
 
 
 class ClientConnection(RequestHandler):
-    """One client's connection; `life` decides when it ends."""
+    """One client's connection; `life` decides when it ends.
 
-    __slots__ = ("life",)
+    The client has left once its side of the connection has ended. TCP tells no difference between a close and
+    a half-close, so a client that sends no more counts as one that left.
+    """
+
+    __slots__ = ("life", "departed", "departure_callbacks")
 
     def __init__(self, server: ClientServer, **more: Any) -> None:
         super().__init__(server, **more)
         self.life = Connection(self._loop.time())
+        self.departed = False
+        self.departure_callbacks: set[Callable[[], None]] = set()
+
+    def watch_departure(self, callback: Callable[[], None]) -> None:
+        """`callback` is called as the client leaves, or at once where it has left."""
+        if self.departed:
+            callback()
+        else:
+            self.departure_callbacks.add(callback)
+
+    def unwatch_departure(self, callback: Callable[[], None]) -> None:
+        """`callback` is called no more."""
+        self.departure_callbacks.discard(callback)
+
+    def depart(self) -> None:
+        """The client has left; a second call does nothing."""
+        self.departed = True
+        callbacks, self.departure_callbacks = self.departure_callbacks, set()
+        for callback in callbacks:
+            callback()
+
+    def eof_received(self) -> None:
+        self.depart()
+        super().eof_received()
 
     def data_received(self, data: bytes) -> None:
         if self.life.drops:
@@ -68,6 +96,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self.life.gone(self._loop.time())
+        self.depart()
         super().connection_lost(exc)
 
     def _process_keepalive(self) -> None:
--- a/pinward/switchboard/call.py
+++ b/pinward/switchboard/call.py
@@ -72,6 +72,7 @@
         self.state = State.TAKEN
         self.tried: list[Machine] = []
         self.last: Ending | None = None
+        self.left_at: float | None = None  # when its client left
         self.ran = False  # a send of it may have run
         self.streams = False  # its body is gone once it was sent
         self.sending: list[Send] = []
--- a/pinward/switchboard/forwarding.py
+++ b/pinward/switchboard/forwarding.py
@@ -16,8 +16,11 @@
 from multidict import CIMultiDict
 
 from pinward.annunciator import ring
+from pinward.common.metrics import Metrics
+from pinward.common.server import ClientConnection
 from pinward.plan.boot import Boot
 from pinward.switchboard.call import Call, Reply, Send, Wait
+from pinward.switchboard.departures import OUTLIVE_S, DepartureWatch
 from pinward.switchboard.kept import ID
 from pinward.switchboard.lines import Lines
 from pinward.switchboard.pipelining import READ_AT, ahead
@@ -84,6 +87,9 @@
         self.open = 0  # requests that are not answered yet
         self.calls: set[Call] = set()  # of these, the ones that were read and have a route
         self.sends = Tasks(lambda _, why: ring(110, why=repr(why)))  # they may outlast their requests
+        self.metrics = Metrics()
+        self.departures = DepartureWatch(self.metrics)
+        self.violations_told = 0
 
     @staticmethod
     def now() -> float:
@@ -107,6 +113,13 @@
             tries = self.tries[service] = Tries(self.boot.bounds)
         return tries
 
+    def tell_violations(self) -> None:
+        """Logs violations of the invariant that were counted since the last call."""
+        watch = self.departures
+        if watch.violations > self.violations_told:
+            self.violations_told = watch.violations
+            ring(331, outlived=watch.outlived.value, after=watch.after.value)
+
     def give_up(self) -> None:
         """Ends the time of all requests: they are answered at once, by what is known of their sends."""
         for call in self.calls:
@@ -177,6 +190,23 @@
             self.headers["Content-Length"] = str(request.content_length)
         self.headers.popall("Expect", None)
         self.sends: dict[Send, asyncio.Task[None]] = {}  # those under way
+        protocol = request.protocol
+        self.connection = protocol if isinstance(protocol, ClientConnection) else None
+        if self.connection is not None:
+            self.connection.watch_departure(self.client_left)
+
+    def client_left(self) -> None:
+        """The client's connection has ended."""
+        shared = self.shared
+        self.call.left_at = shared.now()
+        if self.call in shared.calls:
+            shared.departures.left(self.call)
+        asyncio.get_running_loop().call_later(OUTLIVE_S, shared.departures.looks, self.call)
+
+    def unwatch(self) -> None:
+        """Nothing is under way any more for which the client's leave counts."""
+        if self.connection is not None and not self.sends and self.call not in self.shared.calls:
+            self.connection.unwatch_departure(self.client_left)
 
     async def answered(self) -> StreamResponse:
         """The request's answer. Raises ConnectionResetError where one broke off that had begun to go out."""
@@ -186,6 +216,7 @@
             return await self.until_answered()
         finally:
             self.shared.calls.discard(self.call)
+            self.unwatch()
 
     async def until_answered(self) -> StreamResponse:
         """Sends and waits as the call says, until it has its answer."""
@@ -204,6 +235,7 @@
                     self.sends.values(), timeout=most_s, return_when=asyncio.FIRST_COMPLETED
                 )  # fmt: skip
                 continue
+            shared.departures.begins(call)
             self.sends[step] = shared.sends.spawn(self.send(step, trial))
 
     async def send(self, step: Send, trial: Trial | None) -> None:
@@ -222,6 +254,7 @@
             ending = await shared.wire.send(method, url, headers, self.body, step.allow_s, fresh, outlet)
         finally:
             self.sends.pop(step, None)
+            self.unwatch()
             call.ended(shared.now(), shared.lines, step, ending, trial)
         if ending.what in (End.ANOTHERS, End.SPOILT, End.CUT):
             ring(310, iid=entry.iid, what=ending.what)
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -15,6 +15,7 @@
 from aiohttp.web_server import Server
 
 from pinward.annunciator import ring
+from pinward.common import metrics
 from pinward.common.connection import Limits, Phase
 from pinward.common.listener import Listener
 from pinward.plan.boot import Boot, Watched
@@ -106,6 +107,7 @@
                 self.reread_at = now + REREAD_S
                 self.reread()
             self.look(now)
+            self.forwarder.tell_violations()
             if self.server is not None:
                 self.server.end_overdue(now)
             for trial in self.trials.values():
@@ -120,6 +122,9 @@
         return Limits(plan.idle_s, plan.head_s) if plan is not None else Limits(IDLE_S, IDLE_S)
 
     async def on_ready(self, request: BaseRequest) -> Response:
+        """Whether clients should come, asked by the platform; under `/metrics` the process's figures."""
+        if request.path == metrics.PATH:
+            return Response(text=self.forwarder.metrics.render(), content_type=metrics.CONTENT_TYPE)
         return Response(status=200 if self.ready else 503)
 
     # Life.
--- a/standin/exchange_day.py
+++ b/standin/exchange_day.py
@@ -146,6 +146,7 @@
     return Request(
         method=method, path=path, raw_path=path, headers=CIMultiDict(headers), body_exists=bool(data),
         content_length=len(data), content=Body(data), transport=transport or SimpleNamespace(), read=read,
+        protocol=None,
     )  # fmt: skip
 
 
