Sends for a client that left are broken off, and nothing more is sent for it

Cause: aiohttp lets handlers run on after their connection has ended, and nobody told the sends; nothing was read from connections with long bodies or many requests ahead, so their end was not seen; a request whose turn came after the leave was sent; a connection given up with bytes unread by its machine ended behind them. Change: a connection tells its requests of the client's end, also by TCP_INFO where nothing is read; a send for it ends at once where its machine is full or its answer is on its way, else after 0.25 s, in which its connection may be kept. What may run once is finished, and a leaving proxy waits for it. An abandoned send is no failure of its machine; that it took longer than usual is learned. Connections with half a request or answer are reset.

--- a/pinward/common/server.py
+++ b/pinward/common/server.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable, Coroutine
 from math import inf
 from typing import Any
@@ -17,14 +18,28 @@
 from aiohttp.web_response import StreamResponse
 from aiohttp.web_server import Server
 
-from pinward.common.connection import Connection, Limits, Phase
+from pinward.common.connection import LINGER_S, Connection, Limits, Phase
 
 DRAIN_STEP_S = 0.02  # s between looks at connections while the server leaves
 LIMITED_S = 0.5  # s before the end from which on what clients send behind other requests is not answered
 
+TCP_ENDED = (7, 8, 9)  # Linux: closed, close-wait (the peer has ended its side), last-ack
+
 Answering = Callable[[BaseRequest], Coroutine[Any, Any, StreamResponse]]
 
 
+def peer_has_ended(sock: Any) -> bool:
+    """True where TCP has heard that the peer ended its side, though bytes are unread before that.
+
+    Source: tcp(7), TCP_INFO, whose first byte is the connection's state. False where no system call tells.
+    """
+    try:
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except (OSError, AttributeError):
+        return False
+    return bool(state) and state[0] in TCP_ENDED
+
+
 class ClientConnection(RequestHandler):
     """One client's connection; `life` decides when it ends.
 
@@ -32,17 +47,17 @@
     a half-close, so a client that sends no more counts as one that left.
     """
 
-    __slots__ = ("life", "departed", "departure_callbacks")
+    __slots__ = ("life", "departed_at", "departure_callbacks")
 
     def __init__(self, server: ClientServer, **more: Any) -> None:
         super().__init__(server, **more)
         self.life = Connection(self._loop.time())
-        self.departed = False
+        self.departed_at: float | None = None  # when the client left
         self.departure_callbacks: set[Callable[[], None]] = set()
 
     def watch_departure(self, callback: Callable[[], None]) -> None:
         """`callback` is called as the client leaves, or at once where it has left."""
-        if self.departed:
+        if self.departed_at is not None:
             callback()
         else:
             self.departure_callbacks.add(callback)
@@ -53,11 +68,33 @@
 
     def depart(self) -> None:
         """The client has left; a second call does nothing."""
-        self.departed = True
+        if self.departed_at is None:
+            self.departed_at = self._loop.time()
         callbacks, self.departure_callbacks = self.departure_callbacks, set()
         for callback in callbacks:
             callback()
 
+    @property
+    def left_unread(self) -> bool:
+        """True where the client has ended its side, and this is not noticed as nothing is read from it now.
+
+        aiohttp stops reading while many requests wait, or a long body is not taken off.
+        """
+        paused = self._reading_paused or self._buffer_paused
+        if not paused or self.transport is None:
+            return False
+        return peer_has_ended(self.transport.get_extra_info("socket"))
+
+    def end_departed(self, now: float) -> None:
+        """Ends the connection of a client that has left: nobody waits for its answers."""
+        if self.transport is None:
+            return
+        if self.left_unread:
+            self.depart()
+            self.transport.abort()  # not `close`: that would wait until all is written
+        elif self.departed_at is not None and now > self.departed_at + LINGER_S:
+            self.transport.abort()  # a half-closed one whose client does not read would stay for ever
+
     def eof_received(self) -> None:
         self.depart()
         super().eof_received()
@@ -145,6 +182,7 @@
         overdue: dict[RequestHandler, float] = {}
         for connection in self.connections:
             assert isinstance(connection, ClientConnection)
+            connection.end_departed(now)
             life = connection.life
             if not life.overdue(now, limits, self.leaving):
                 left += 1
--- a/pinward/switchboard/call.py
+++ b/pinward/switchboard/call.py
@@ -36,7 +36,7 @@
     ENDED = auto()
 
 
-MOVES = {State.TAKEN: (State.SENT, State.ENDED), State.SENT: (State.SENT, State.TAKEN)}
+MOVES = {State.TAKEN: (State.SENT, State.ENDED), State.SENT: (State.SENT, State.TAKEN, State.ENDED)}
 
 
 @dataclass(eq=False)
@@ -85,8 +85,14 @@
             raise ValueError(f"a call cannot go from {self.state.name} to {state.name}")
         self.state = state
 
+    def leave(self, now: float) -> None:
+        """Its client has left: nothing more is sent for it, and what its sends bring is for nobody."""
+        self.left_at = now
+        if self.state is not State.ENDED:
+            self.move(State.ENDED)
+
     def next(self, now: float, lines: Lines, tries: Tries, trial: Trial | None) -> Send | Reply | Wait:
-        """What to do now."""
+        """What to do now; not to be asked once the client has left."""
         left = self.until - now
         if self.state is State.SENT:
             return self.beside(now, lines, tries, trial)
--- a/pinward/switchboard/departures.py
+++ b/pinward/switchboard/departures.py
@@ -1,32 +1,54 @@
 """Clients that leave before their answer, and the sends to machines that are under way for them.
 
-The invariant, without I/O: half a second after a client has left, no machine is at work on a request of its
-that may run again, and none is sent to a machine. `DepartureWatch` counts each violation.
+The invariant: half a second after a client has left, no machine is at work on a request of its that may run
+again, and none is sent to a machine. `allowance_s` decides how long a send may go on, and `DepartureWatch`
+counts each violation. No clock, no socket.
 """
 
 from __future__ import annotations
 
+from math import inf
+
 from pinward.common.metrics import Metrics
-from pinward.switchboard.call import Call
+from pinward.switchboard.call import Call, Send
+from pinward.switchboard.verdict import Kind
 
 OUTLIVE_S = 0.5  # s after the leave from which on work for nobody is a violation
+SETTLE_S = 0.25  # s that a send may still end by itself: its connection is kept then
+
+
+def allowance_s(now: float, call: Call, send: Send) -> float:
+    """Seconds that a send may go on once its client has left; infinite where it goes on to its end.
+
+    A request that may run once goes on: what its machine has begun cannot be begun again, and nobody can tell
+    how much of it was done where it is broken off. Others get a moment to end by themselves: in HTTP/1.1 a
+    send that is broken off costs its connection. They end at once where others wait for the machine's slots,
+    and where the answer is already on its way.
+    """
+    if call.kind is Kind.ONCE:
+        return inf
+    full = send.machine.busy(now) >= send.machine.entry.slots
+    return 0.0 if full or call.passing is send else SETTLE_S
 
 
 class DepartureWatch:
-    """Counts leaves, what was under way for those who left, and violations of the invariant."""
+    """Counts leaves, what became of the sends of those who left, and violations of the invariant."""
 
     def __init__(self, metrics: Metrics) -> None:
-        self.departures = metrics.counter(
-            "pinward_departures_total", "Requests whose client left before its answer."
-        )
-        self.under_way = metrics.counter(
+        count = metrics.counter
+        self.departures = count("pinward_departures_total", "Requests whose client left before its answer.")
+        self.under_way = count(
             "pinward_sends_at_departure_total", "Sends to machines under way as their client left."
         )
-        self.outlived = metrics.counter(
+        self.cancelled = count("pinward_sends_cancelled_total", "Of these, the ones that were broken off.")
+        self.finishing = count(
+            "pinward_sends_finishing_total", "Of these, the ones that go on to their end: they may run once."
+        )
+        self.outlived = count(
             "pinward_sends_outlived_client_total",
             "Violations: sends of a request that may run again at work half a second after its client left.",
         )
-        self.after = metrics.counter(
+        self.after = count(
             "pinward_sends_after_departure_total", "Violations: sends begun after their client had left."
         )
 
@@ -34,11 +56,6 @@
     def violations(self) -> int:
         return int(self.outlived.value + self.after.value)
 
-    def left(self, call: Call) -> None:
-        """A client has left; its request has no answer yet."""
-        self.departures.add()
-        self.under_way.add(len(call.sending))
-
     def begins(self, call: Call) -> None:
         """A send begins."""
         if call.left_at is not None:
--- a/pinward/switchboard/forwarding.py
+++ b/pinward/switchboard/forwarding.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from functools import partial
 from math import inf
 from random import Random
 from typing import Any
@@ -20,12 +21,12 @@
 from pinward.common.server import ClientConnection
 from pinward.plan.boot import Boot
 from pinward.switchboard.call import Call, Reply, Send, Wait
-from pinward.switchboard.departures import OUTLIVE_S, DepartureWatch
+from pinward.switchboard.departures import OUTLIVE_S, DepartureWatch, allowance_s
 from pinward.switchboard.kept import ID
 from pinward.switchboard.lines import Lines
 from pinward.switchboard.pipelining import READ_AT, ahead
 from pinward.switchboard.stream import Outlet, Sink
-from pinward.switchboard.verdict import BROKEN, End, ended
+from pinward.switchboard.verdict import BROKEN, End, Ending, ended
 from pinward.switchboard.wire import DEADLINE, NOT_RUN, WANT, Wire, passed_on
 from pinward.tally.tries import Tries
 from pinward.tasks import Tasks
@@ -100,6 +101,12 @@
         if self.wire is not None:
             await self.wire.close()
 
+    async def finish_sends(self, until: float) -> None:
+        """Waits for sends that go on to their end though their clients left, to the loop's time at most."""
+        left_s = until - self.now()
+        if self.sends.running and left_s > 0:
+            await asyncio.wait(self.sends.running, timeout=left_s)
+
     def forget_former_services(self) -> None:
         """Drops the budgets of services that the configuration no longer names, where there are many."""
         plan = self.known.plan
@@ -139,8 +146,10 @@
         self.open += 1
         try:
             return await self.serve(request)
-        except (ConnectionResetError, asyncio.CancelledError):
+        except asyncio.CancelledError:
             raise
+        except ConnectionError:  # the connection has ended, and its client gets nothing
+            return own_answer(BROKEN)
         except Exception as why:  # a fault of the program ends this request alone
             ring(110, why=repr(why))
             return own_answer(500)
@@ -189,19 +198,34 @@
         if call.streams and request.content_length is not None:
             self.headers["Content-Length"] = str(request.content_length)
         self.headers.popall("Expect", None)
-        self.sends: dict[Send, asyncio.Task[None]] = {}  # those under way
+        self.sends: dict[Send, asyncio.Task[Ending]] = {}  # those under way
         protocol = request.protocol
         self.connection = protocol if isinstance(protocol, ClientConnection) else None
         if self.connection is not None:
             self.connection.watch_departure(self.client_left)
 
     def client_left(self) -> None:
-        """The client's connection has ended."""
-        shared = self.shared
-        self.call.left_at = shared.now()
-        if self.call in shared.calls:
-            shared.departures.left(self.call)
-        asyncio.get_running_loop().call_later(OUTLIVE_S, shared.departures.looks, self.call)
+        """The client has left, perhaps after its answer: what is under way for it is given up in time."""
+        now, watch, loop = self.shared.now(), self.shared.departures, asyncio.get_running_loop()
+        if self.call in self.shared.calls:
+            watch.departures.add()
+        self.call.leave(now)
+        watch.under_way.add(len(self.sends))
+        for send in self.sends:
+            allow_s = allowance_s(now, self.call, send)
+            if allow_s == inf:
+                watch.finishing.add()
+            else:
+                loop.call_later(allow_s, self.cancel, send)
+        if self.sends:
+            loop.call_later(OUTLIVE_S, watch.looks, self.call)
+
+    def cancel(self, send: Send) -> None:
+        """Breaks off a send whose time after its client's leave is over, where it has not ended."""
+        task = self.sends.get(send)
+        if task is not None:
+            self.shared.departures.cancelled.add()
+            task.cancel()
 
     def unwatch(self) -> None:
         """Nothing is under way any more for which the client's leave counts."""
@@ -222,9 +246,9 @@
         """Sends and waits as the call says, until it has its answer."""
         shared, call = self.shared, self.call
         while True:
-            if call.tried and self.request.transport is None:
+            if call.left_at is not None:
                 self.sink.shut()
-                return own_answer(BROKEN)  # its client is gone: no further machine works for nobody
+                return own_answer(BROKEN)  # nobody gets it; no further machine works for nobody
             trial = shared.trials.get(call.service)
             step = call.next(shared.now(), shared.lines, self.budget, trial)
             if isinstance(step, Reply):
@@ -235,11 +259,27 @@
                     self.sends.values(), timeout=most_s, return_when=asyncio.FIRST_COMPLETED
                 )  # fmt: skip
                 continue
-            shared.departures.begins(call)
-            self.sends[step] = shared.sends.spawn(self.send(step, trial))
+            self.begin(step, trial)
+
+    def begin(self, step: Send, trial: Trial | None) -> None:
+        """Begins a send."""
+        self.shared.departures.begins(self.call)
+        task = self.sends[step] = self.shared.sends.spawn(self.send(step))
+        # By the task's end, not within it: one that is cancelled before its first step never runs.
+        task.add_done_callback(partial(self.ended, step, trial))
+
+    def ended(self, step: Send, trial: Trial | None, task: asyncio.Task[Ending]) -> None:
+        """A send has ended: what it tells of its machine, and to its request."""
+        whole = not task.cancelled() and task.exception() is None
+        ending = task.result() if whole else ended(End.ABANDONED)
+        del self.sends[step]
+        self.unwatch()
+        self.call.ended(self.shared.now(), self.shared.lines, step, ending, trial)
+        if ending.what in (End.ANOTHERS, End.SPOILT, End.CUT):
+            ring(310, iid=step.machine.entry.iid, what=ending.what)
 
-    async def send(self, step: Send, trial: Trial | None) -> None:
-        """One send, from its beginning to what it tells of its machine."""
+    async def send(self, step: Send) -> Ending:
+        """One send over the wire, and how it ended."""
         shared, call, entry = self.shared, self.call, step.machine.entry
         headers = self.headers.copy()
         headers[DEADLINE] = str(max(1, int(step.allow_s * 1000)))
@@ -249,15 +289,8 @@
         fresh = shared.now() < step.machine.shaky_until and method not in ("GET", "HEAD")
         fresh = fresh or ID not in headers  # by what else could its answer be known
         assert shared.wire is not None
-        ending, outlet = ended(End.ABANDONED), Outlet(self.sink, call.final, lambda: call.passes_on(step))
-        try:
-            ending = await shared.wire.send(method, url, headers, self.body, step.allow_s, fresh, outlet)
-        finally:
-            self.sends.pop(step, None)
-            self.unwatch()
-            call.ended(shared.now(), shared.lines, step, ending, trial)
-        if ending.what in (End.ANOTHERS, End.SPOILT, End.CUT):
-            ring(310, iid=entry.iid, what=ending.what)
+        outlet = Outlet(self.sink, call.final, lambda: call.passes_on(step))
+        return await shared.wire.send(method, url, headers, self.body, step.allow_s, fresh, outlet)
 
     async def reply(self, reply: Reply) -> StreamResponse:
         """The answer that goes to the client."""
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -195,6 +195,7 @@
         if await server.drain(end - GIVE_UP_S):
             self.forwarder.give_up()
             await server.drain(end - EXIT_S)
+        await self.forwarder.finish_sends(end - EXIT_S)
 
     @staticmethod
     def may_ask(server: PipeliningServer) -> bool:
--- a/pinward/switchboard/kept.py
+++ b/pinward/switchboard/kept.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+import socket
+import struct
+from contextlib import suppress
 from functools import partial
 from time import monotonic
 from typing import Any, cast
@@ -18,6 +21,7 @@
 
 REST_S = 4.0  # s that an idle connection is kept, where the machine tells no less
 REST_PART = 0.7  # of the time the machine tells: its close and our next request would cross
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 ID, KEEP = "X-Try-Id", "Keep-Alive"
 
 
@@ -40,12 +44,13 @@
     asked = False  # a request is under way on it
     asked_id: str | None = None
     dropped = False  # no answer to another request is dropped any more
+    body: Any = None  # of the answer under way, once its head came
     served = False  # an earlier request was answered on it
     rest_s, since = REST_S, 0.0  # how long it may be idle, and since when it is
 
     def asks(self, id_: str | None) -> None:
         """From here on an answer is awaited."""
-        self.asked, self.asked_id, self.dropped = True, id_, not self.served
+        self.asked, self.asked_id, self.dropped, self.body = True, id_, not self.served, None
 
     def rests(self) -> None:
         """From here on none is: what comes belongs to no request."""
@@ -56,6 +61,21 @@
         """True where a request may go out on it."""
         return not self._buffer and monotonic() - self.since <= self.rest_s
 
+    @property
+    def broken_off(self) -> bool:
+        """True where a request is under way whose answer is not whole."""
+        return self.asked and (self.body is None or not self.body.is_eof())
+
+    def reset(self) -> None:
+        """Ends the connection at once."""
+        # Symptom: a machine that had not read all went on for a caller that had gone, as the end of a
+        # connection comes behind what is still to be read. Besides, nothing is left waiting on our side.
+        if self.transport is not None:
+            with suppress(OSError, AttributeError):
+                sock = self.transport.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            self.abort()
+
     def data_received(self, data: bytes) -> None:
         if data and not self.asked:  # without data aiohttp goes on with what it holds back
             # Symptom: a surplus answer that came while idle stood in the place of the next request's.
@@ -78,6 +98,7 @@
                 self.dropped = True
                 self.force_close()
                 return
+            self.body = data[1]
             if KEEP in headers:
                 self.rest_s = rest_of(headers[KEEP])
         super().feed_data(data, size)
@@ -111,5 +132,7 @@
 
     def _release(self, key: ConnectionKey, protocol: ResponseHandler, *, should_close: bool = False) -> None:
         if isinstance(protocol, Channel):
+            if protocol.broken_off:
+                protocol.reset()
             protocol.rests()
         super()._release(key, protocol, should_close=should_close)
--- a/pinward/switchboard/lines.py
+++ b/pinward/switchboard/lines.py
@@ -12,7 +12,7 @@
 
 from pinward.directory.entry import Entry, Standing
 from pinward.directory.sanctioned import sanctioned
-from pinward.switchboard.verdict import Ending, Verdict
+from pinward.switchboard.verdict import End, Ending, Verdict
 from pinward.trial.order import Order
 
 DRAWS = 4  # machines looked at for a request: the best of a few, lest all fronts choose the same
@@ -20,6 +20,7 @@
 AWAY = 0.5  # of the usual time that another zone costs: bytes between zones are priced
 SPILL = 1.1  # of the slots busy at the best near machine, from which on other zones are looked at
 SPEED_KEPT = 0.9  # of the speed learned that stays with each answer
+SLOWNESS_MOST = 4.0  # times the usual that one answer counts as, at most
 ASIDE_S = (0.4, 4.0)  # s that a machine is left out after failures in a row, doubled each time
 ASIDE_AFTER = 2  # failures in a row; a refused connection counts as enough
 FULL_S = 0.15  # s that a machine which turned one away is taken to be full
@@ -176,6 +177,9 @@
     def end(self, now: float, machine: Machine, ending: Ending, took: float) -> None:
         """A send there ended."""
         machine.open -= 1
+        if ending.what == End.ABANDONED:
+            self.abandoned(now, machine, took)
+            return
         if ending.load is not None:
             running, waiting, _ = ending.load
             machine.told, machine.told_at, machine.told_open = running + waiting, now, machine.open
@@ -186,7 +190,7 @@
             if service is not None and ending.status < 500 and not queued:
                 service.usual_s = 0.98 * service.usual_s + 0.02 * min(took, 10 * service.usual_s)
                 if now >= machine.warm_at:
-                    part = min(4.0, took / service.usual_s)
+                    part = min(SLOWNESS_MOST, took / service.usual_s)
                     machine.speed = SPEED_KEPT * machine.speed + (1 - SPEED_KEPT) * part
         elif ending.verdict is Verdict.TURNED_AWAY:
             machine.full_until = now + FULL_S * self.chance.uniform(0.6, 1.4)
@@ -198,6 +202,21 @@
             if machine.failed >= ASIDE_AFTER or ending.verdict is Verdict.NOT_SENT:
                 self.leave_out(now, machine)
 
+    def abandoned(self, now: float, machine: Machine, took: float) -> None:
+        """A send was given up here: its machine has not failed. It is known to take at least so long.
+
+        Harm without it: the machines that are so slow that clients leave would look as quick as the rest, and
+        empty besides, and be chosen more and more.
+        """
+        service = self.services.get(machine.entry.service)
+        if service is None or now < machine.warm_at:
+            return
+        slots = machine.entry.slots
+        queue = max(0.0, machine.busy(now) + 1 - slots) / slots  # usual times of waiting for a slot
+        part = min(SLOWNESS_MOST, took / service.usual_s - queue)
+        if part > machine.speed:
+            machine.speed = SPEED_KEPT * machine.speed + (1 - SPEED_KEPT) * part
+
     def leave_out(self, now: float, machine: Machine) -> None:
         machine.aside_s = min(ASIDE_S[1], max(ASIDE_S[0], 2 * machine.aside_s))
         machine.aside_until = now + machine.aside_s * self.chance.uniform(0.8, 1.2)
--- a/standin/departures.py
+++ b/standin/departures.py
@@ -13,10 +13,14 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
+from pinward.common.server import peer_has_ended
+
 OUTLIVE_S = 0.5  # s after its client has left in which a repeatable request's work must end
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 HOLD = "x-hold-ms"  # request field: how long the machine works
 FILL = "x-answer-bytes"  # request field: how long the answer's body is
+UNREAD_STEP_S = 0.01  # s between looks at a connection that is not read from
+SMALL = 4096  # bytes that a machine which reads nothing takes all the same
 ANSWER_MOST = 64 * 1024  # bytes that a machine writes at a time
 
 
@@ -39,11 +43,16 @@
     works: list[Work] = field(default_factory=list)
     connections: int = 0
     slots: int = 10_000  # requests that it works on at once; the others wait
+    hold_s: float | None = None  # how long it works, whatever requests ask for
+    reads_bodies: bool = True
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> int:
         """Begins to listen; returns the port."""
         self.room = asyncio.Semaphore(self.slots)
-        self.server = await asyncio.start_server(self.serve, host, port, limit=2**20, backlog=1024)
+        listener = socket.create_server((host, port), backlog=1024)
+        if not self.reads_bodies:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL)
+        self.server = await asyncio.start_server(self.serve, sock=listener, limit=2**20)
         return int(self.server.sockets[0].getsockname()[1])
 
     @property
@@ -55,8 +64,8 @@
         try:
             while True:
                 await self.one(reader, writer)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass  # cancelled at the end of the loop: asyncio's streams would log it
         finally:
             writer.close()
 
@@ -69,8 +78,11 @@
         work = Work(fields.get("x-try-id", ""), lines[0].split()[1], loop.time())
         self.works.append(work)
         try:
+            if not self.reads_bodies:
+                await ended_unread(writer)
             await self.body(reader, fields)
-            await self.hold(reader, int(fields.get(HOLD, "0")) / 1000)
+            hold_s = int(fields.get(HOLD, "0")) / 1000 if self.hold_s is None else self.hold_s
+            await self.hold(reader, hold_s)
             await self.answer(writer, work.id, int(fields.get(FILL, "2")))
             work.whole = True
         finally:
@@ -103,6 +115,14 @@
             await writer.drain()
 
 
+async def ended_unread(writer: asyncio.StreamWriter) -> None:
+    """Reads nothing until the connection ends. Raises ConnectionResetError then."""
+    writer.transport.pause_reading()  # type: ignore[attr-defined]
+    while not peer_has_ended(writer.get_extra_info("socket")):
+        await asyncio.sleep(UNREAD_STEP_S)
+    raise ConnectionResetError("the caller has gone")
+
+
 class Leave(Enum):
     """How a client ends its connection."""
 
