--- a/tests/test_gateway_departures.py
+++ b/tests/test_gateway_departures.py
@@ -20,6 +20,7 @@
 from pinward.tally.tries import Tries
 from pinward.trial.front import Trial
 from pinward.trial.order import Order
+from standin import departures_soak
 from standin.departures import OUTLIVE_S, Client, Leave, RecordingMachine, outlived
 from tests.test_gateway_parts import BOOK, BOUNDS, READ, entry
 from tests.test_gateway_wire import EDGE, played
@@ -321,3 +322,13 @@
         call.ended(0.3, self.lines, send, ended(End.ABANDONED), trial)
         self.assertThat((trial.routes, list(trial.fresh)), Equals(({}, [])))
         self.assertThat(self.tries.further.since(-1.0), Equals(0))
+
+
+class RealProcesses(TestCase):
+    """The short form of `pinward gateway departures`."""
+
+    def test_clients_leave_while_processes_are_killed_paused_and_cut_off(self) -> None:
+        soak = departures_soak.played(1, 4.0)
+        self.assertThat(soak.faults, Equals([]))
+        self.assertThat(soak.counted["pinward_departures_total"], GreaterThan(0))
+        self.assertThat(len(soak.troubles), GreaterThan(1))
