--- a/pinward/command/gateway_experiments.py
+++ b/pinward/command/gateway_experiments.py
@@ -154,7 +154,7 @@
 
 def draw(
     site: Path, *, seed: int = 0, days: int = 10, into: Path = DRAWN, pairs: bool = False, times: int = 1,
-    work: bool = False,
+    work: bool = False, leaving: bool = False,
 ) -> int:  # fmt: skip
     """Writes days for the users' bench: troubles of all kinds by chance, one seed a day.
 
@@ -168,9 +168,10 @@
     :param times: makes days so many times as long, with so many times the troubles; not with --pairs
     :param work: days of planned work alone: changes, reloads, restarts in turn, machines that leave; not with
         --pairs
+    :param leaving: clients leave early all day, beside all kinds; not with --pairs or --work
     """
-    if pairs and work:
-        print("pinward: work: not with --pairs", file=sys.stderr)
+    if pairs + work + leaving > 1:
+        print("pinward: pairs, work, leaving: one at most", file=sys.stderr)
         return 2
     if not 1 <= times <= 10 or (times > 1 and pairs):
         print("pinward: times: must be 1 to 10, and 1 with --pairs", file=sys.stderr)
@@ -180,7 +181,8 @@
     if told_site.is_err():
         print(f"pinward: {told_site.unwrap_err()}", file=sys.stderr)
         return 2
-    for file in found.write(told_site.unwrap(), range(seed, seed + days), into, pairs, times, work):
+    sort = found.Sort("pairs" if pairs else "work" if work else "leaving" if leaving else "all")
+    for file in found.write(told_site.unwrap(), range(seed, seed + days), into, sort, times):
         print(file)
     return 0
 
--- a/standin/day_draw.py
+++ b/standin/day_draw.py
@@ -1,7 +1,8 @@
 """Days for the users' bench, drawn by a seed: troubles of every kind and way, at any moment, more than once.
 
 The bench's own `hunt` draws from a site's troubles alone. A day of `draw` takes all kinds that the bench
-knows; one of `paired` puts two of five hard things together at the worst moment, and closes with a fault.
+knows; one of `paired` puts two of five hard things together at the worst moment, and closes with a fault;
+on one of `leaving` clients leave early all day besides.
 What a day is played on (places, services, traffic, floors) comes from the site's file. Days with an even
 seed replace core machines. All chance comes from the seed.
 """
@@ -9,6 +10,7 @@
 from __future__ import annotations
 
 import tomllib
+from enum import Enum
 from itertools import combinations_with_replacement
 from pathlib import Path
 from random import Random
@@ -60,6 +62,7 @@
     "burst": Kind(FAULTS, {"x": (1.2, 1.9), "for_s": LASTS}, where=("zone|class",)),
     "shift": Kind(FAULTS, {"share": (0.1, 0.5), "for_s": LASTS}, where=("zone", "to_zone")),
     "retry_abuse": Kind(FAULTS, {"x": (1, 3), "share": (0.1, 0.4), "for_s": LASTS}),
+    "give_up": Kind(FAULTS, {"share": (0.1, 0.8), "for_s": LASTS}),
     # servers
     "srv_crash": Kind(FAULTS, {"share": (0.05, 0.25), "for_s": LASTS}, ("", "dark", "gone", "dark gone"),
                       reach=True, where=("service|",)),
@@ -160,6 +163,9 @@
     ("roll_term", ("", "busy"), (0, 2)), ("release", ("",), (0, 1)), ("scale_in", ("",), (0, 1)),
     ("big_config", ("",), (0, 1)), ("config_race", ("",), (0, 2)),
 )  # fmt: skip
+# Days on which clients leave all day: what makes machines' work last, so that it can outlive its client.
+LEAVE_LOAD = (0.7, 1.1)  # of the site's traffic
+LASTING = ("srv_slow", "burst", "srv_slow", "answer_lost", "node_freeze", "retry_abuse")
 LOST_LAST = {"kind": "wipe_after_ack", "down_s": 1.0, "how": "taken"}  # closes long days of planned work
 
 NEEDED = ("name", "contracts", "length_s", "zones", "services", "classes", "traffic", "day")  # of a site
@@ -242,9 +248,12 @@
     return PLAN if "planned" in told["how"].split() else KINDS[told["kind"]].under
 
 
-def frame(rng: Random, site: dict[str, Any], seed: int, name: str, times: int = 1) -> dict[str, Any]:
+def frame(
+    rng: Random, site: dict[str, Any], seed: int, name: str, times: int = 1,
+    loads: tuple[float, float] = LOAD,
+) -> dict[str, Any]:  # fmt: skip
     """A day without troubles: traffic scaled from the site's, floors of its troubled day of nearest load."""
-    scale = rng.uniform(*LOAD)
+    scale = rng.uniform(*loads)
     traffic = [{**row, "per_s": round(row["per_s"] * scale, 1)} for row in site["traffic"]]
     load = sum(row["per_s"] for row in traffic)
     troubled = [day for day in site["day"] if day.get(FAULTS)] or site["day"]
@@ -336,6 +345,21 @@
     return day
 
 
+def leaving(site: dict[str, Any], seed: int, times: int = 1) -> dict[str, Any]:
+    """A day of all kinds on which clients leave early from its first second to its last, and machines are
+    slow or full at times; `times` as long, with as much more of it."""
+    rng = Random(f"leaving {site['name']} {seed} {times}")
+    day = frame(rng, site, seed, "leaving" if times == 1 else f"leaving-{times}-long", times, LEAVE_LOAD)
+    rows = [(side, told) for side in (PLAN, FAULTS) for told in draw(site, seed, times)[side]]
+    rows = [(side, told) for side, told in rows if told["at"] < day["length_s"] - QUIET_S]
+    share = amount(rng, "give_up", "share", *KINDS["give_up"].ranges["share"])
+    rows.append((FAULTS, {"at": 1.0, "kind": "give_up", "share": share, "for_s": day["length_s"] - 1.0}))
+    for _ in range(times):
+        for name in rng.sample(LASTING, 3):
+            rows.append((FAULTS, entry(rng, site, name, rng.uniform(1.0, day["length_s"] - QUIET_S))))
+    return ended(rng, day, seed, rows)
+
+
 def word(value: Any) -> str:
     """A value as TOML has it: text, numbers, true or false, lists and inline tables of these."""
     if isinstance(value, dict):
@@ -360,14 +384,24 @@
     return "\n".join(lines) + "\n"
 
 
+class Sort(Enum):
+    """What a drawn day is made of."""
+
+    ALL = "all"
+    PAIRS = "pairs"
+    WORK = "work"
+    LEAVING = "leaving"
+
+
 def write(
-    site: dict[str, Any], seeds: range, into: Path, pairs: bool = False, times: int = 1, work: bool = False
-) -> list[Path]:
-    """Writes a day a seed into a folder; returns the files."""
+    site: dict[str, Any], seeds: range, into: Path, sort: Sort = Sort.ALL, times: int = 1
+) -> list[Path]:  # fmt: skip
+    """Writes a day a seed into a folder; returns the files. Days of pairs have one length."""
     into.mkdir(parents=True, exist_ok=True)
+    makers = {Sort.ALL: draw, Sort.WORK: planned, Sort.LEAVING: leaving}
     files = []
     for seed in seeds:
-        day = paired(site, seed) if pairs else (planned if work else draw)(site, seed, times)
+        day = paired(site, seed) if sort is Sort.PAIRS else makers[sort](site, seed, times)
         files.append(into / f"{site['name']}-{day['name']}.toml")
         files[-1].write_text(spell(day))
     return files
--- a/standin/day_hunt.py
+++ b/standin/day_hunt.py
@@ -22,6 +22,7 @@
 LATE_S = 10.0  # s for the bench to end after SIGTERM
 UNSERVED = 0.6  # of the requests owed: beyond it the gate fails
 CUT, NOT_CONNECTED = "cut, no answer", "no connection"  # how the bench names ends of clients' tries
+WORKED_ON = "worth worked on after its client had left"  # how it names that price
 TOLD = 200  # characters of the bench's words in a line
 
 
@@ -38,9 +39,10 @@
     wall_s: float
     cut: int = 0  # requests whose connections ended without an answer
     refused: int = 0  # connections that clients did not get
+    worked_on: float = 0  # worth of requests worked on half a second after their clients had left
 
     def line(self) -> str:
-        ends = f"{self.cut} cut, {self.refused} not connected"
+        ends = f"{self.cut} cut, {self.refused} not connected, {self.worked_on:g} worked on"
         parts = (self.build, self.day, f"seed {self.seed}", f"{self.score:.3f}", f"gate {self.gate}",
                  self.broken or "-", self.why or "-", ends, f"{self.wall_s:.0f} s")  # fmt: skip
         return " | ".join(parts)
@@ -76,7 +78,7 @@
     """One day; its output lies beside its file, as FILE.out. Given up at the limit, with all it started."""
     day = tomllib.loads(file.read_text())
     began = time.monotonic()
-    cut = refused = 0
+    cut = refused = worked_on = 0
     with tempfile.TemporaryDirectory() as folder, file.with_suffix(".out").open("wb") as out:
         report = Path(folder) / "report.json"
         words = (bench, "run", site, file, "--report", report, "--why", f"Drawn day {day['name']} on {of}")
@@ -86,6 +88,7 @@
             told = json.loads(report.read_text())
             gate, broken, why = weigh(told)
             cut, refused = (told.get("ends", {}).get(name, 0) for name in (CUT, NOT_CONNECTED))
+            worked_on = next((worth for name, worth, *_ in told.get("prices", ()) if name == WORKED_ON), 0)
             if cut and not day.get("faults") and "closing" not in day:  # nothing but planned work
                 gate, why = "failed", f"{cut} requests without an answer; {why}"[:TOLD]
             score = float(told["G"] or 0.0)  # none where a day has a fault
@@ -95,7 +98,7 @@
         except (OSError, ValueError, KeyError) as fault:
             gate, broken, why, score = "not played", "", f"exit {status}, report: {fault!r}"[:TOLD], 0.0
     wall_s = time.monotonic() - began
-    return Played(of, file.stem, day["seed"], score, gate, broken, why, wall_s, cut, refused)
+    return Played(of, file.stem, day["seed"], score, gate, broken, why, wall_s, cut, refused, worked_on)
 
 
 def end(run: subprocess.Popen[bytes]) -> None:
--- a/tests/test_gateway_days.py
+++ b/tests/test_gateway_days.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, HasLength, LessThan, MatchesRegex
+from testtools.matchers import Contains, Equals, HasLength, LessThan, MatchesRegex, Not
 
 from standin import day_draw, day_hunt
 
@@ -64,7 +64,7 @@
     def days(self) -> list[dict[str, Any]]:
         site = day_draw.read(self.site()).unwrap()
         files = day_draw.write(site, SEEDS, self.folder / "drawn")
-        files += day_draw.write(site, SEEDS, self.folder / "drawn", pairs=True)
+        files += day_draw.write(site, SEEDS, self.folder / "drawn", day_draw.Sort.PAIRS)
         return [tomllib.loads(file.read_text()) for file in files]
 
     def test_all_kinds(self) -> None:
@@ -140,6 +140,18 @@
             self.assertThat(len(long["plan"]) > len(day["plan"]), Equals(True))
         self.assertThat(kinds, Equals({kind for kind, _, _ in day_draw.WORK}))
 
+    def test_clients_leave_all_day(self) -> None:
+        """On each from the first second to the last, beside other kinds, and within the day."""
+        site = day_draw.read(self.site()).unwrap()
+        for seed in range(20):
+            day = day_draw.leaving(site, seed)
+            leaves = [told for told in day["faults"] if told["kind"] == "give_up"]
+            longest = max(leaves, key=lambda told: told["for_s"])
+            self.assertThat(longest["at"] + longest["for_s"], Equals(day["length_s"]))
+            kinds = {told["kind"] for told in day["faults"]}
+            self.assertThat(kinds & set(day_draw.LASTING), Not(HasLength(0)))
+            self.assertThat(max(told["at"] for told in day["faults"]) < day["length_s"], Equals(True))
+
     def test_pairs(self) -> None:
         """Each two of the five points meet within the time that makes them one trouble."""
         days = [day for day in self.days() if day["name"].startswith("paired")]
@@ -203,11 +215,12 @@
         (self.folder / "report.json").write_text(json.dumps({**REPORT, "G": None, "fault": "no start"}))
         none = day_hunt.play(bench, sites["small-gw"], files[0], "build")
         self.assertThat((none.score, none.gate, none.why), Equals((0.0, "failed", "fault: no start")))
-        (self.folder / "report.json").write_text(json.dumps({**REPORT, "ends": {"cut, no answer": 2}}))
+        seen = {"ends": {"cut, no answer": 2}, "prices": [[day_hunt.WORKED_ON, 7.0, 0.1]]}
+        (self.folder / "report.json").write_text(json.dumps({**REPORT, **seen}))
         for more, gate in (("", "failed"), ('faults = [{ at = 1.0, kind = "srv_crash" }]\n', "passed")):
             files[0].write_text(files[0].read_text() + more)
             one = day_hunt.play(bench, sites["small-gw"], files[0], "build")
-            self.assertThat((one.cut, one.gate), Equals((2, gate)), more)
+            self.assertThat((one.cut, one.worked_on, one.gate), Equals((2, 7.0, gate)), more)
         bench.write_text("#!/bin/sh\nexec cat /dev/zero >/dev/null\n")
         late = day_hunt.play(bench, sites["small-gw"], files[0], "build", limit_s=0.05)
         self.assertThat((late.gate, late.why), Equals(("not played", "given up after 0 s")))
