Clients of every habit around a real proxy process that is reloaded and restarted

Cause: the drill of requests without an answer played the proxy in its own process; its signals and its end as a process were not met.

--- a/pinward/command/gateway_experiments.py
+++ b/pinward/command/gateway_experiments.py
@@ -220,7 +220,9 @@
     return int(bool(fell))
 
 
-def connections(*, seeds: int = 3, first: int = 0, requests: int = 10_000, as_json: bool = False) -> int:
+def connections(
+    *, seeds: int = 3, first: int = 0, requests: int = 10_000, processes: bool = False, as_json: bool = False
+) -> int:  # fmt: skip
     """Plays clients of every habit on loopback around a proxy that is changed, reloaded and restarted.
 
     Exit 1 where a whole request had neither answer nor refusal. Takes some seconds a thousand requests.
@@ -228,9 +230,10 @@
     :param seeds: how many runs
     :param first: the first seed
     :param requests: recorded a run
+    :param processes: plays with real processes of a proxy and three control servers, under signals
     :param as_json: prints JSON
     """
-    found = rig("connections_drill")
+    found = rig("connections_processes" if processes else "connections_drill")
     runs = [found.played(seed, requests) for seed in range(first, first + seeds)]
     lines([{"seed": first + at, **run.figures()} for at, run in enumerate(runs)], as_json)
     return int(any(run.faults for run in runs))
--- a/standin/connections_drill.py
+++ b/standin/connections_drill.py
@@ -120,8 +120,8 @@
                 await asyncio.sleep(self.chance.choice(WORK_S))
                 told = b"X-Try-Id: %s\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\nok" % id_
                 writer.write(b"HTTP/1.1 200 OK\r\n" + told)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass  # cancelled at the end of the loop: asyncio's streams would log it
         finally:
             writer.close()
 
--- a/tests/test_gateway_unanswered.py
+++ b/tests/test_gateway_unanswered.py
@@ -15,6 +15,7 @@
 import tests.test_gateway_wire as wire_tests
 from pinward.common.connection import Connection, Limits, Phase
 from pinward.switchboard.host import GIVE_UP_S, LAST_S
+from standin import connections_processes
 from standin.connections_drill import ConnectionsDrill, Outcome, address_of_own
 from tests.test_gateway_wire import EDGE, SOUND, Gated, Scripted, played
 
@@ -164,3 +165,12 @@
         with mock.patch.object(Connection, "answer_ends", closes_with_one_queued):
             counts = self.drill(3).counts
         self.assertThat(counts[Outcome.NOT_READ.value], GreaterThan(20))
+
+
+class RealProcesses(TestCase):
+    """The short form of `pinward gateway connections --processes`."""
+
+    def test_none_is_unanswered_around_a_process_that_is_reloaded_and_restarted(self) -> None:
+        drill = connections_processes.played(1, 2 * REQUESTS)
+        self.assertThat([record.outcome for record in drill.faults], Equals([]))
+        self.assertThat(drill.restarts, GreaterThan(0))
