Processes of a small gateway are started and ended by its rig, not by each drill

Cause: two drills of real processes started, beat and ended them alike. Change: Rig.processes and Rig.running; no change of what is played.

--- a/standin/connections_processes.py
+++ b/standin/connections_processes.py
@@ -32,12 +32,7 @@
         self.rig = Rig(folder, cores=3, fronts=1)
         super().__init__(seed, requests, (self.rig.fronts[0], EDGE), clients)
         self.beats = [Machine(number) for number in range(1, 4)]
-        self.processes = {ip: self.process(ip) for ip in (*self.rig.cores, *self.rig.fronts)}
-
-    def process(self, ip: str) -> Process:
-        words = ["pinward.exchange" if ip in self.rig.cores else "pinward.switchboard"]
-        env = {"PINWARD_BOOT": str(self.rig.settings(ip))}
-        return Process(ip, words, self.rig.folder / f"{ip}.log", env)
+        self.processes = self.rig.processes()
 
     @property
     def proxy(self) -> Process:
@@ -104,23 +99,13 @@
             await asyncio.start_server(self.machine, MACHINES.format(number), SOCK, backlog=1024)
             for number in range(1, 4)
         ]
-        for process in self.processes.values():
-            process.start()
-        try:
-            async with aiohttp.ClientSession() as http:
-                beating = asyncio.ensure_future(self.rig.beats(http, self.beats))
-                try:
-                    await self.serving(http)
-                    habits = (self.pooled, self.pipelined, self.fresh, self.slow, self.pooled, self.idle)
-                    clients = (self.client(habits[n % len(habits)]) for n in range(self.clients))
-                    await asyncio.gather(self.planned_work(http), *clients)
-                finally:
-                    beating.cancel()
-        finally:
-            for process in self.processes.values():
-                process.end()
-            for server in servers:
-                server.close()
+        async with self.rig.running(self.processes, self.beats) as http:
+            await self.serving(http)
+            habits = (self.pooled, self.pipelined, self.fresh, self.slow, self.pooled, self.idle)
+            clients = (self.client(habits[n % len(habits)]) for n in range(self.clients))
+            await asyncio.gather(self.planned_work(http), *clients)
+        for server in servers:
+            server.close()
         return self
 
 
--- a/standin/departures_soak.py
+++ b/standin/departures_soak.py
@@ -19,7 +19,6 @@
 from pinward.common.metrics import PATH
 from standin.departures import OUTLIVE_S, Client, Leave, RecordingMachine, Work
 from standin.gateway_rig import BEAT_S, EDGE, MACHINES, SOCK, UP, Machine, Rig, plan
-from standin.processes import Process
 
 SLACK_S = 0.15  # s by which records and processes on one busy machine may be late
 HOLDS_MS = (5, 30, 150, 600, 1500)  # how long machines work, drawn
@@ -97,7 +96,7 @@
         self.rig = Rig(self.folder)
         self.works = [TroubledMachine(f"i-{number:04d}") for number in range(1, 5)]
         self.beats = [Machine(number) for number in range(1, 5)]
-        self.processes: dict[str, Process] = {}
+        self.processes = self.rig.processes()
         self.end_at = 0.0
 
     @staticmethod
@@ -106,13 +105,6 @@
 
     # The gateway.
 
-    def start(self) -> None:
-        for ip in (*self.rig.cores, *self.rig.fronts):
-            words = ["pinward.exchange" if ip in self.rig.cores else "pinward.switchboard"]
-            env = {"PINWARD_BOOT": str(self.rig.settings(ip))}
-            self.processes[ip] = Process(ip, words, self.folder / f"{ip}.log", env)
-            self.processes[ip].start()
-
     async def serving(self, http: aiohttp.ClientSession) -> None:
         """Waits until both proxies forward. Raises TimeoutError where they do not in time."""
         async with asyncio.timeout(START_S):
@@ -269,19 +261,10 @@
         for number, machine in enumerate(self.works, 1):
             machine.chance = self.chance
             await machine.start(MACHINES.format(number), SOCK)
-        self.start()
-        try:
-            async with aiohttp.ClientSession() as http:
-                beating = asyncio.ensure_future(self.rig.beats(http, self.beats))
-                try:
-                    await self.load(http)
-                finally:
-                    beating.cancel()
-        finally:
-            for process in self.processes.values():
-                process.end()
-            for machine in self.works:
-                machine.server.close()
+        async with self.rig.running(self.processes, self.beats) as http:
+            await self.load(http)
+        for machine in self.works:
+            machine.server.close()
 
     async def load(self, http: aiohttp.ClientSession) -> None:
         await self.serving(http)
--- a/standin/gateway_rig.py
+++ b/standin/gateway_rig.py
@@ -8,12 +8,16 @@
 
 import asyncio
 import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
 import aiohttp
 from aiohttp import web
 
+from standin.processes import Process
+
 CORES, FRONTS, MACHINES = "127.0.61.{}", "127.0.62.{}", "127.0.63.{}"
 CTL, UP, EDGE, SOCK, INNER = 18649, 18640, 18641, 18080, 17620
 BEAT_S = 0.5
@@ -117,3 +121,30 @@
             for machine in machines:
                 await self.call(http, "PUT", f"/machines/{machine.iid}", machine.beat())
             await asyncio.sleep(BEAT_S)
+
+    def processes(self) -> dict[str, Process]:
+        """All exchanges and switchboards by address, not started; their logs lie in the folder."""
+        made = {}
+        for ip in (*self.cores, *self.fronts):
+            words = ["pinward.exchange" if ip in self.cores else "pinward.switchboard"]
+            env = {"PINWARD_BOOT": str(self.settings(ip))}
+            made[ip] = Process(ip, words, self.folder / f"{ip}.log", env)
+        return made
+
+    @asynccontextmanager
+    async def running(
+        self, processes: dict[str, Process], machines: list[Machine]
+    ) -> AsyncIterator[aiohttp.ClientSession]:  # fmt: skip
+        """Starts the processes, lets the machines beat, and ends both at the end."""
+        for process in processes.values():
+            process.start()
+        try:
+            async with aiohttp.ClientSession() as http:
+                beating = asyncio.ensure_future(self.beats(http, machines))
+                try:
+                    yield http
+                finally:
+                    beating.cancel()
+        finally:
+            for process in processes.values():
+                process.end()
