Owners' test of disks waits for processes to answer, not a fixed time after their start

Its twin is asked 1 s after its start; on a busy machine a start takes longer. Change: the rig and the test wait until the process answers, 15 s at most, then as long as before: what is asked is the same, and for longer.

--- a/standin/owners_trial.py
+++ b/standin/owners_trial.py
@@ -21,6 +21,7 @@
 from standin.installation import in_folder, play_seeds, rows, spread
 
 INSTANCES, MEMBERS, TARGETS = 3, 4, 2
+START_S = 15.0  # s for a process to answer after its start
 HOLD_S, MEMBER_BEAT_S, FLIGHT_S, TAKEOVER_S = 1.0, 0.1, 0.1, 6.0
 SETTINGS = [
     "owners {", f"  hold {HOLD_S:g}s", f"  member-beat {MEMBER_BEAT_S * 1000:g}ms",
@@ -214,11 +215,13 @@
         self.copy_disk(name).rename(self.folder / copied)
         self.add_member(copied, as_name=name)
         self.processes[copied].start()
+        # Symptom: on a busy machine its start took longer than the time in which it is watched.
+        answers = await self.until(lambda: self.ask(copied, do="status"), START_S)
         await asyncio.sleep(HOLD_S)
         status = await self.ask(copied, do="status")
         self.processes[copied].kill()
         self.processes.pop(copied)
-        return status is not None
+        return answers and status is not None
 
     # One seed.
 
--- a/tests/test_owners_whole.py
+++ b/tests/test_owners_whole.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from standin.installation import rows
-from standin.owners_trial import HOLD_S, TAKEOVER_S, Trial, check
+from standin.owners_trial import HOLD_S, START_S, TAKEOVER_S, Trial, check
 
 SLOTS = iter(range(60, 100))  # nets of their own
 
@@ -152,11 +152,13 @@
         name, _ = await self.owner_of(play, "watch")
         kept = play.copy_disk(name)
         await play.kill([name], 0.1)
+        self.assertTrue(await play.until(lambda: play.ask(name, do="status"), START_S))
         await asyncio.sleep(3 * HOLD_S)  # until the new start is in the log
         for disk in (kept, None):
             play.processes[name].kill()
             play.put_back(name, disk)
             play.processes[name].start()
+            self.assertTrue(await play.until(lambda: play.ask(name, do="status"), START_S))
             await asyncio.sleep(3 * HOLD_S)
         said = await self.history(play)
         self.assertIn("an older copy of its disk", said)
