One value for closes that reset, and no kinds of figures that nothing uses

Change: stand-ins take the connection pool's value; metrics are counters. Text of /metrics as before.

--- a/pinward/common/metrics.py
+++ b/pinward/common/metrics.py
@@ -3,25 +3,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import Enum
 
 PATH = "/metrics"
 CONTENT_TYPE = "text/plain"
 
 
-class Kind(Enum):
-    """What a figure does over time."""
-
-    COUNTER = "counter"  # it only rises, from the process's start on
-    GAUGE = "gauge"
-
-
 @dataclass
-class Metric:
-    """One figure. Names of counters end with `_total`, units stand in the name."""
+class Counter:
+    """A figure that only rises, from the process's start on. Its name ends with `_total`."""
 
     name: str
-    kind: Kind
     meaning: str
     value: float = 0
 
@@ -29,7 +20,7 @@
         self.value += by
 
     def render(self) -> str:
-        head = f"# HELP {self.name} {self.meaning}\n# TYPE {self.name} {self.kind.value}\n"
+        head = f"# HELP {self.name} {self.meaning}\n# TYPE {self.name} counter\n"
         return f"{head}{self.name} {self.value:.15g}\n"
 
 
@@ -37,15 +28,11 @@
 class Metrics:
     """All figures of a process, in the order in which they were made."""
 
-    all: list[Metric] = field(default_factory=list)
-
-    def counter(self, name: str, meaning: str) -> Metric:
-        self.all.append(Metric(name, Kind.COUNTER, meaning))
-        return self.all[-1]
+    all: list[Counter] = field(default_factory=list)
 
-    def gauge(self, name: str, meaning: str) -> Metric:
-        self.all.append(Metric(name, Kind.GAUGE, meaning))
+    def counter(self, name: str, meaning: str) -> Counter:
+        self.all.append(Counter(name, meaning))
         return self.all[-1]
 
     def render(self) -> str:
-        return "".join(metric.render() for metric in self.all)
+        return "".join(counter.render() for counter in self.all)
--- a/pinward/switchboard/kept.py
+++ b/pinward/switchboard/kept.py
@@ -21,7 +21,7 @@
 
 REST_S = 4.0  # s that an idle connection is kept, where the machine tells no less
 REST_PART = 0.7  # of the time the machine tells: its close and our next request would cross
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER by which a close sends a reset
 ID, KEEP = "X-Try-Id", "Keep-Alive"
 
 
--- a/standin/departures.py
+++ b/standin/departures.py
@@ -8,15 +8,14 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
 from pinward.common.server import peer_has_ended
+from pinward.switchboard.kept import RESET_ON_CLOSE
 
 OUTLIVE_S = 0.5  # s after its client has left in which a repeatable request's work must end
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 HOLD = "x-hold-ms"  # request field: how long the machine works
 FILL = "x-answer-bytes"  # request field: how long the answer's body is
 UNREAD_STEP_S = 0.01  # s between looks at a connection that is not read from
--- a/standin/faulty_machine.py
+++ b/standin/faulty_machine.py
@@ -7,12 +7,12 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
-LINGER_NONE = struct.pack("ii", 1, 0)  # a close that sends a reset
+from pinward.switchboard.kept import RESET_ON_CLOSE
+
 
 
 class Read(Enum):
@@ -108,7 +108,8 @@
             for _ in range(4):  # the caller reads each part by itself
                 await asyncio.sleep(0)
         if act.then is Then.RESET:
-            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             writer.transport.abort()
         return act.then is Then.KEPT
 
