Logs and metrics tell what a leaving proxy gives up, and of clients that left

Change: figures are also served at port 9464 of the machine, which deploy/system.toml names; event 332 tells what is given up, when it was read and sent on; event 330 the counts of clients that left; 105 where the port is taken. No logic changed.

--- a/pinward/annunciator.py
+++ b/pinward/annunciator.py
@@ -30,6 +30,8 @@
     103: Event("INFO", "settings read", "The settings file was read anew.", "Nothing."),
     104: Event("ERROR", "settings faulty", "The settings file is wrong; what was in force stays.",
                "Mend it."),
+    105: Event("WARNING", "no metrics", "The port of the process's figures cannot be had; all else goes on.",
+               "Look at what listens there."),
     110: Event("ERROR", "fault in a handler", "A request or word met a fault in the program.", "Report it."),
     200: Event("INFO", "view chosen", "A majority accepted a view; this machine leads it.", "Nothing."),
     201: Event("WARNING", "standing", "No primary was heard; this machine stands for one.",
@@ -71,9 +73,14 @@
                "Look at the machine where it repeats."),
     311: Event("INFO", "line left out", "A machine is left out after failures.", "Look at the machine."),
     320: Event("INFO", "trial vote", "A front votes on a build, with its evidence.", "Nothing."),
+    330: Event("INFO", "clients left", "Figures of clients that left before their answers, since the start.",
+               "Nothing."),
     331: Event("ERROR", "work outlived its client",
                "Sends went on half a second after their client had left, or began then (counts since start).",
                "Report it, with the lines before it and the figures under /metrics."),
+    332: Event("WARNING", "requests given up",
+               "The grace is over with requests at work; seconds are after SIGTERM.",
+               "A longer grace, where routes have a longer `Tmo`."),
 }  # fmt: skip
 
 LOG = logbook.Logger("pinward")
--- a/pinward/switchboard/departures.py
+++ b/pinward/switchboard/departures.py
@@ -56,6 +56,15 @@
     def violations(self) -> int:
         return int(self.outlived.value + self.after.value)
 
+    @property
+    def figures(self) -> dict[str, int]:
+        """What the log tells of them."""
+        return {
+            "departures": int(self.departures.value), "under_way": int(self.under_way.value),
+            "cancelled": int(self.cancelled.value), "finishing": int(self.finishing.value),
+            "violations": self.violations,
+        }  # fmt: skip
+
     def begins(self, call: Call) -> None:
         """A send begins."""
         if call.left_at is not None:
--- a/pinward/switchboard/forwarding.py
+++ b/pinward/switchboard/forwarding.py
@@ -38,6 +38,7 @@
 DEADLINE_S = 30.0  # s a client waits that does not say how long
 UNKNOWN_S = 0.3  # s after which a client is told to come back to a front that knows no configuration yet
 CHECK_S = 0.05  # s beyond the bound after which work that outlived its client is counted
+TELL_S = 5.0  # s between two lines of figures in the log
 SERVICES_SPARE = 64  # services of former configurations whose budget is remembered
 
 Body = bytes | AsyncIterator[bytes]
@@ -94,6 +95,7 @@
         self.metrics = Metrics()
         self.departures = DepartureWatch(self.metrics)
         self.violations_told = 0
+        self.departures_told, self.departures_told_at = 0.0, -inf
 
     @staticmethod
     def now() -> float:
@@ -123,15 +125,26 @@
             tries = self.tries[service] = Tries(self.boot.bounds)
         return tries
 
-    def tell_violations(self) -> None:
-        """Logs violations of the invariant that were counted since the last call."""
+    def tell_departures(self, now: float) -> None:
+        """Logs what clients' leaves came to since the last call, violations of the invariant at once."""
         watch = self.departures
         if watch.violations > self.violations_told:
             self.violations_told = watch.violations
             ring(331, outlived=watch.outlived.value, after=watch.after.value)
+        if watch.departures.value > self.departures_told and now >= self.departures_told_at + TELL_S:
+            self.departures_told, self.departures_told_at = watch.departures.value, now
+            ring(330, **watch.figures)
 
-    def give_up(self) -> None:
+    def give_up(self, signalled_at: float) -> None:
         """Ends the time of all requests: they are answered at once, by what is known of their sends."""
+        if self.calls:
+            read_at = max(call.taken for call in self.calls)
+            sends = [send.at for call in self.calls for send in call.sending]
+            last_send_s = max(sends, default=signalled_at) - signalled_at
+            ring(
+                332, requests=len(self.calls), sends=len(sends),
+                last_read_s=f"{read_at - signalled_at:.3f}", last_send_s=f"{last_send_s:.3f}",
+            )  # fmt: skip
         for call in self.calls:
             call.until = min(call.until, self.now())
         self.sends.cancel()
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -15,7 +15,7 @@
 from aiohttp.web_server import Server
 
 from pinward.annunciator import ring
-from pinward.common import metrics
+from pinward.common import metrics, metrics_server
 from pinward.common.connection import Limits, Phase
 from pinward.common.listener import Listener
 from pinward.plan.boot import Boot, Watched
@@ -107,7 +107,7 @@
                 self.reread_at = now + REREAD_S
                 self.reread()
             self.look(now)
-            self.forwarder.tell_violations()
+            self.forwarder.tell_departures(now)
             if self.server is not None:
                 self.server.end_overdue(now)
             for trial in self.trials.values():
@@ -159,6 +159,7 @@
         )
         host, port = self.boot.bind["Up"]
         up = await loop.create_server(Server(self.on_ready, access_log=None), host, port)
+        figures = await metrics_server.listen(self.forwarder.metrics, self.boot.ip)
         host, port = self.boot.bind["Edge"]
         listener = Listener(server, (host, port), LISTEN)
         ring(100, edge=f"{host}:{port}")
@@ -176,6 +177,8 @@
             for wait in waits:
                 wait.cancel()
             up.close()
+            if figures is not None:
+                figures.close()
 
     async def leave(self, server: PipeliningServer, listener: Listener) -> None:
         """Tells the platform first; takes new clients until it has surely heard, and nobody may be about to
@@ -193,7 +196,7 @@
             await asyncio.sleep(LEAVE_STEP_S)
         await listener.close()
         if await server.drain(end - GIVE_UP_S):
-            self.forwarder.give_up()
+            self.forwarder.give_up(began)
             await server.drain(end - EXIT_S)
         await self.forwarder.finish_sends(end - EXIT_S)
 
