--- a/standin/connections_drill.py
+++ b/standin/connections_drill.py
@@ -71,6 +71,7 @@
     status: int
     closes: bool
     rest_s: float
+    stamped: bool  # a machine's, not the proxy's own
 
 
 async def read_answer(reader: asyncio.StreamReader) -> Answer:
@@ -80,7 +81,7 @@
         fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
         await reader.readexactly(int(fields.get("content-length", "0")))
     rest_s = float(fields.get("keep-alive", "timeout=15").removeprefix("timeout="))
-    return Answer(int(head.split()[1]), fields.get("connection") == "close", rest_s)
+    return Answer(int(head.split()[1]), fields.get("connection") == "close", rest_s, "x-stamp" in fields)
 
 
 class ConnectionsDrill:
--- a/tests/test_gateway_wire.py
+++ b/tests/test_gateway_wire.py
@@ -213,12 +213,14 @@
         self.assertThat(answer, StartsWith(b"HTTP/1.1 200 OK\r\n"))
         self.assertThat(answer.lower(), Contains(b"connection: close\r\n"))
 
-    async def board(self, *ports: int) -> tuple[Switchboard, asyncio.Event, asyncio.Future[None]]:
+    async def board(
+        self, *ports: int, grace_s: float = LAST_S
+    ) -> tuple[Switchboard, asyncio.Event, asyncio.Future[None]]:
         """A switchboard that serves, has a machine at each port, and leaves without delay."""
         boot = boot_of(Settings.TOLD).unwrap()
         boot = replace(
             boot, bind={"Up": ("127.0.0.1", 0), "Edge": EDGE}, peers=((EDGE[0], 1),),
-            bounds=replace(boot.bounds, grace_s=LAST_S),
+            bounds=replace(boot.bounds, grace_s=grace_s),
         )  # fmt: skip
         board, stop = Switchboard(boot), asyncio.Event()
         board.known.plan = plan_of(json.dumps(plan(1))).unwrap()
