A leaving proxy sends on only what it can finish, and refuses the rest with 503

Cause: nothing asked, as a request was sent on, whether the grace has room for it. A connection whose client always has another request sent was read from until 1 s before the end; second machines were asked as late. Change: one statement (switchboard/leaving.py): after SIGTERM a request is sent to a machine only in the first 0.4 of the grace, 2.4 s at most, or where all of its time is over before what is left is given up. Else 503: it has not run. At that moment connections are settled: they carry the answers to what was read, and nothing behind. Until then requests sent ahead are begun as ever.

--- a/pinward/common/connection.py
+++ b/pinward/common/connection.py
@@ -107,6 +107,11 @@
         if self.answers_left is None:
             self.answers_left = max(1, self.unanswered)
 
+    @property
+    def settled(self) -> bool:
+        """True where it is settled which answer is the last one."""
+        return self.answers_left is not None
+
     def answer_ends(self, leaving: bool) -> bool:
         """True where the answer whose head goes out now is the last one, and must say so: the server leaves
         and nothing was read behind the request, or no more answers are left.
--- a/pinward/common/server.py
+++ b/pinward/common/server.py
@@ -21,7 +21,6 @@
 from pinward.common.connection import LINGER_S, Connection, Limits, Phase
 
 DRAIN_STEP_S = 0.02  # s between looks at connections while the server leaves
-LIMITED_S = 0.5  # s before the end from which on what clients send behind other requests is not answered
 
 TCP_ENDED = (7, 8, 9)  # Linux: closed, close-wait (the peer has ended its side), last-ack
 
@@ -152,6 +151,7 @@
         super().__init__(self.in_turn, access_log=None, **more)
         self.answer, self.limits = answer, limits
         self.leaving = False
+        self.settles_at = inf  # loop's time from which on connections carry nothing but what was read
         self.overdue: dict[RequestHandler, float] = {}  # at the last look, by their phase's begin
         self.connected_at = -inf  # loop's time of the last new connection
 
@@ -178,6 +178,7 @@
         Only those whose time was over at the last call too: what came in time has been read since then,
         though the loop was held up by other work.
         """
+        self.settle(now)
         limits, left = self.limits(), 0
         overdue: dict[RequestHandler, float] = {}
         for connection in self.connections:
@@ -194,17 +195,27 @@
         self.overdue = overdue
         return left
 
+    def leave(self, settles_at: float) -> None:
+        """The server ends: each connection's answer with nothing read behind it is its last one.
+
+        From the loop's time `settles_at` on a connection carries the answers to what was read by then, or one
+        more: a client that always has another request sent would hold it for ever.
+        """
+        self.leaving, self.settles_at = True, settles_at
+
+    def settle(self, now: float) -> None:
+        """Bounds the answers of all connections, where it is time."""
+        if now >= self.settles_at:
+            for life in self.lives():
+                life.limit_answers()
+
     async def drain(self, until: float) -> int:
         """After the listener was closed: answers what was read, by the loop's time `until` at most.
 
         Returns the number of connections that are left.
         """
         loop = asyncio.get_running_loop()
-        self.leaving = True
         while (left := self.end_overdue(loop.time())) and loop.time() < until:
-            if loop.time() > until - LIMITED_S:
-                for life in self.lives():
-                    life.limit_answers()
             await asyncio.sleep(DRAIN_STEP_S)
         return left
 
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -394,7 +394,7 @@
         ring(100, ctl=f"{host}:{port}", inner=self.boot.inner, epoch=self.keeper.kept.promised)
         await stop.wait()
         ring(101)
-        server.leaving = True
+        server.leave(self.now() + self.boot.bounds.grace_s - HANDED_S)
         await self.hand_over()
         if self.keeper.role is Role.PRIMARY:
             self.keeper.step_down(self.now())
--- a/pinward/switchboard/call.py
+++ b/pinward/switchboard/call.py
@@ -13,6 +13,7 @@
 from math import inf
 
 from pinward.plan.routes import Route
+from pinward.switchboard.leaving import LeaveSchedule
 from pinward.switchboard.lines import Lines, Machine
 from pinward.switchboard.verdict import (
     BROKEN, LATE, NEVER_RAN, TURNED, End, Ending, Kind, Verdict, ended, goes_on, own_status,
@@ -73,6 +74,7 @@
         self.tried: list[Machine] = []
         self.last: Ending | None = None
         self.left_at: float | None = None  # when its client left
+        self.leaving: LeaveSchedule | None = None  # of the proxy, once it was told to end
         self.ran = False  # a send of it may have run
         self.streams = False  # its body is gone once it was sent
         self.sending: list[Send] = []
@@ -91,12 +93,16 @@
         if self.state is not State.ENDED:
             self.move(State.ENDED)
 
+    def may_send(self, now: float) -> bool:
+        """False where the proxy leaves and would have to give up what it sends now."""
+        return self.leaving is None or self.leaving.may_send(now, self.until)
+
     def next(self, now: float, lines: Lines, tries: Tries, trial: Trial | None) -> Send | Reply | Wait:
         """What to do now; not to be asked once the client has left."""
         left = self.until - now
         if self.state is State.SENT:
             return self.beside(now, lines, tries, trial)
-        if self.tried and not self.again(now, lines, tries):
+        if not self.may_send(now) or (self.tried and not self.again(now, lines, tries)):
             return self.reply(lines)
         if left < LEAST_S:
             self.move(State.ENDED)
@@ -140,6 +146,7 @@
         """
         first, service = self.sending[0], lines.services.get(self.service)
         may = self.route.repeatable and not (self.streams or self.passing) and len(self.sending) == 1
+        may = may and self.may_send(now)
         if not may or service is None or len(self.tried) >= self.route.tries:
             return Wait(inf)
         late_s = first.at + BESIDE * max(service.usual_s, lines.expected(now, first.machine)) - now
--- a/pinward/switchboard/forwarding.py
+++ b/pinward/switchboard/forwarding.py
@@ -23,6 +23,7 @@
 from pinward.switchboard.call import Call, Reply, Send, Wait
 from pinward.switchboard.departures import OUTLIVE_S, DepartureWatch, allowance_s
 from pinward.switchboard.kept import ID
+from pinward.switchboard.leaving import LeaveSchedule
 from pinward.switchboard.lines import Lines
 from pinward.switchboard.pipelining import READ_AT, ahead
 from pinward.switchboard.splits import SplitSequence
@@ -94,6 +95,7 @@
         self.sends = Tasks(lambda _, why: ring(110, why=repr(why)))  # they may outlast their requests
         self.metrics = Metrics()
         self.departures = DepartureWatch(self.metrics)
+        self.leaving: LeaveSchedule | None = None  # once the proxy was told to end
         self.violations_told = 0
         self.departures_told, self.departures_told_at = 0.0, -inf
 
@@ -135,9 +137,16 @@
             self.departures_told, self.departures_told_at = watch.departures.value, now
             ring(330, **watch.figures)
 
-    def give_up(self, signalled_at: float) -> None:
+    def leave(self, schedule: LeaveSchedule) -> None:
+        """The proxy was told to end: from now on its schedule bounds what is sent to machines."""
+        self.leaving = schedule
+        for call in self.calls:
+            call.leaving = schedule
+
+    def give_up(self) -> None:
         """Ends the time of all requests: they are answered at once, by what is known of their sends."""
-        if self.calls:
+        if self.calls and self.leaving is not None:
+            signalled_at = self.leaving.signalled_at
             read_at = max(call.taken for call in self.calls)
             sends = [send.at for call in self.calls for send in call.sending]
             last_send_s = max(sends, default=signalled_at) - signalled_at
@@ -193,6 +202,7 @@
         body: Body = b""
         service = route.split[0][0] if len(route.split) == 1 else route.service(self.splits.next(route.name))
         call = Call(route, service, now, allow_s)
+        call.leaving = self.leaving
         if request.body_exists:
             if (request.content_length or 0) > plan.body_bytes:
                 return last_answer(413)
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -20,6 +20,7 @@
 from pinward.common.listener import Listener
 from pinward.plan.boot import Boot, Watched
 from pinward.switchboard.forwarding import Forwarder
+from pinward.switchboard.leaving import LeaveSchedule
 from pinward.switchboard.lines import Lines
 from pinward.switchboard.pipelining import PipeliningServer
 from pinward.switchboard.wire import Wire
@@ -31,10 +32,6 @@
 STEP_S = 0.1  # s between looks at what time changes
 REREAD_S = 2.0  # s between looks at the settings file, which may change without a signal
 BLIND_S = 4.0  # s until a front that finds no control front with a primary serves by what it knows
-HEARD_S = 2.2  # s after which the platform, which asks each second, has surely heard that a front leaves
-LAST_S = 2.4  # s before the grace ends: no client is taken any more
-GIVE_UP_S = 0.5  # s before the grace ends: what is not answered yet gets an answer of our own
-EXIT_S = 0.2  # s before the grace ends: the process itself takes some time to end
 QUIET_S = 0.3  # s without a new connection after which no client is taken to be connecting
 LEAVE_STEP_S = 0.02  # s between looks at the clients' connections while the process leaves
 HEAD_MOST = 16384  # bytes of a request's first line and of each of its headers
@@ -185,20 +182,21 @@
         ask on a connection that rests; then finishes the rest.
         """
         ring(101, open=self.forwarder.open)
-        self.leaving = server.leaving = True
-        began = self.now()
-        self.look(began)
-        end = began + self.boot.bounds.grace_s
-        last_at = end - LAST_S
-        heard_at = min(began + HEARD_S, last_at)
-        while self.now() < last_at and (self.now() < heard_at or self.may_ask(server)):
-            server.end_overdue(self.now())
+        schedule = LeaveSchedule(self.now(), self.boot.bounds.grace_s)
+        self.leaving = True
+        self.look(schedule.signalled_at)
+        self.forwarder.leave(schedule)
+        server.leave(schedule.sends_until)
+        while (now := self.now()) < schedule.accepts_until:
+            if now >= schedule.heard_at and not self.may_ask(server):
+                break
+            server.end_overdue(now)
             await asyncio.sleep(LEAVE_STEP_S)
         await listener.close()
-        if await server.drain(end - GIVE_UP_S):
-            self.forwarder.give_up(began)
-            await server.drain(end - EXIT_S)
-        await self.forwarder.finish_sends(end - EXIT_S)
+        if await server.drain(schedule.gives_up_at):
+            self.forwarder.give_up()
+            await server.drain(schedule.exits_at)
+        await self.forwarder.finish_sends(schedule.exits_at)
 
     @staticmethod
     def may_ask(server: PipeliningServer) -> bool:
--- a/pinward/switchboard/pipelining.py
+++ b/pinward/switchboard/pipelining.py
@@ -67,8 +67,8 @@
                 continue
             if not server.able(message):
                 return
-            if len(self.begun) >= AHEAD_MOST or self._task_handler is None or server.leaving:
-                return
+            if len(self.begun) >= AHEAD_MOST or self._task_handler is None or self.life.settled:
+                return  # what is read behind the last answer has none
             writer = StreamWriter(self, self._loop)
             request = BaseRequest(message, payload, self, writer, self._task_handler, self._loop)
             request[AHEAD] = True
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -3,14 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import logbook
 from testtools import TestCase
-from testtools.matchers import Equals, GreaterThan
+from testtools.matchers import Equals, GreaterThan, Is, IsInstance, LessThan
 
 import tests.test_gateway_wire as wire_tests
+from pinward.switchboard.call import Call, Reply, Send, Wait
+from pinward.switchboard.leaving import SENDS_S, LeaveSchedule
+from pinward.switchboard.lines import Lines
+from pinward.switchboard.verdict import Ending, Verdict
+from pinward.tally.tries import Tries
 from standin.departures import RecordingMachine
 from standin.leaving import BusyClient, Outcome, Records
+from tests.test_gateway_parts import BOUNDS, READ, entry
 from tests.test_gateway_wire import EDGE
 
 GRACE_S = 3.0
@@ -20,6 +27,75 @@
 SEEDS = 2
 
 
+class Schedules(TestCase):
+    """The moments of a proxy's end."""
+
+    def test_moments_come_in_their_order(self) -> None:
+        for grace_s in (2.4, 3.0, 6.0, 10.0, 30.0):
+            schedule = LeaveSchedule(100.0, grace_s)
+            self.assertTrue(100.0 < schedule.sends_until < schedule.gives_up_at < schedule.exits_at)
+            self.assertTrue(100.0 <= schedule.heard_at <= schedule.accepts_until < schedule.gives_up_at)
+            self.assertThat(schedule.exits_at, LessThan(schedule.ends_at))
+            self.assertThat(schedule.sends_until - 100.0, LessThan(SENDS_S + 0.001))
+            self.assertThat(schedule.sends_until - 100.0, LessThan(0.5 * grace_s))
+
+    def test_what_may_be_sent_by_the_moment_and_the_time_of_the_request(self) -> None:
+        schedule = LeaveSchedule(0.0, 6.0)
+        for now, until, may in (
+            (0.0, 6.0, True),  # early: whatever its time
+            (2.3, 8.3, True),
+            (2.5, 5.4, True),  # late: it is over before the proxy gives up
+            (2.5, 5.6, False),
+            (4.9, 5.5, True),
+            (4.9, 10.9, False),
+        ):
+            self.assertThat(schedule.may_send(now, until), Is(may), f"{now} {until}")
+
+
+class LeavingCalls(TestCase):
+    """One request's sends as its proxy leaves: SIGTERM comes at 0, the grace is 6 s."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.lines, self.tries = Lines("a", 1), Tries(BOUNDS)
+        self.lines.learn(0.0, [entry(n) for n in range(4)], {}, {"s": 100})
+        for _ in range(50):
+            self.tries.request(0.0)
+
+    def call(self, taken: float, allow_s: float) -> Call:
+        call = Call(replace(READ, timeout_s=9.0), "s", taken, allow_s)
+        call.leaving = LeaveSchedule(0.0, 6.0)
+        return call
+
+    def step(self, call: Call, now: float) -> Send | Wait | Reply:
+        return call.next(now, self.lines, self.tries, None)
+
+    def test_a_late_request_is_refused_at_once_and_may_be_sent_again(self) -> None:
+        reply = self.step(self.call(4.96, 6.0), 4.96)
+        assert isinstance(reply, Reply)
+        self.assertThat(reply.status, Equals(503))
+        self.assertThat(reply.back_s, GreaterThan(0.0))
+
+    def test_a_late_request_that_is_over_in_time_is_sent(self) -> None:
+        self.assertThat(self.step(self.call(4.8, 0.6), 4.8), IsInstance(Send))
+
+    def test_late_no_second_machine_is_asked_beside_a_silent_one(self) -> None:
+        """Symptom: a second machine was asked 4.92 s after SIGTERM, and both were broken off."""
+        call = self.call(2.0, 6.0)
+        self.assertThat(self.step(call, 2.0), IsInstance(Send))
+        self.assertThat(self.step(call, 4.92), IsInstance(Wait))
+
+    def test_late_no_other_machine_is_asked_after_one_that_broke_off(self) -> None:
+        for verdict, status in ((Verdict.MAY_HAVE_RUN, 502), (Verdict.NOT_SENT, 503)):
+            call = self.call(2.0, 6.0)
+            send = self.step(call, 2.0)
+            assert isinstance(send, Send)
+            call.ended(4.0, self.lines, send, Ending(verdict, "reset"), None)
+            reply = self.step(call, 4.0)
+            assert isinstance(reply, Reply)
+            self.assertThat(reply.status, Equals(status))
+
+
 class BusyConnections(TestCase):
     """Clients that always have requests sent, around a whole proxy."""
 
--- a/tests/test_gateway_unanswered.py
+++ b/tests/test_gateway_unanswered.py
@@ -14,7 +14,7 @@
 
 import tests.test_gateway_wire as wire_tests
 from pinward.common.connection import Connection, Limits, Phase
-from pinward.switchboard.host import GIVE_UP_S, LAST_S
+from pinward.switchboard.leaving import GIVE_UP_S, LAST_S
 from standin import connections_processes
 from standin.connections_drill import ConnectionsDrill, Outcome, address_of_own
 from tests.test_gateway_wire import EDGE, SOUND, Gated, Scripted, played
--- a/tests/test_gateway_wire.py
+++ b/tests/test_gateway_wire.py
@@ -18,7 +18,8 @@
 from pinward.directory.entry import Entry, Standing
 from pinward.plan.boot import boot_of
 from pinward.plan.schema import plan_of
-from pinward.switchboard.host import LAST_S, Switchboard
+from pinward.switchboard.host import Switchboard
+from pinward.switchboard.leaving import LAST_S
 from pinward.switchboard.verdict import Verdict
 from pinward.switchboard.wire import Wire
 from standin.gateway_rig import plan
