A control server that ends answers each call before its last moment

Callers saw: a connection that ended under a call read 0.2 s before a control server's end, without an answer. Calls wait up to 0.9 s for others (1.2 s for a machine's leave), also where the process ends sooner; a caller that always has another call sent was read from until the end. Change: no wait goes beyond 0.15 s before the end (Answers.until); connections are settled as the listener closes.

--- a/pinward/exchange/answers.py
+++ b/pinward/exchange/answers.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 from dataclasses import replace
+from math import inf
 from typing import Any
 
 from aiohttp.web_request import BaseRequest
@@ -49,6 +50,11 @@
         self.outgoing, self.incoming = Outgoing(parts.life), Incoming()
         self.taken_at: dict[str, dict[int, float]] = {}  # service, order's number: known as taken since then
         self.repeat_s = parts.boot.bounds.ack_s + LATE_S
+        self.closes_at = inf  # from then on nothing is waited for: the process is about to end
+
+    def until(self, most_s: float) -> float:
+        """The end of a wait of so many seconds, while the process is there to answer."""
+        return min(self.parts.now() + most_s, self.closes_at)
 
     def written(self, number: int, held: bool) -> None:
         """A write that began here is over."""
@@ -123,7 +129,7 @@
                 return 400, fault(plan.unwrap_err())
         if not call.primary:
             return await getattr(self, call.handler)(word, said.unwrap())
-        until = self.parts.now() + CALL_S
+        until = self.until(CALL_S)
         while (left := until - self.parts.now()) > 0:
             answer = None
             primary = self.parts.keeper.primary
@@ -227,7 +233,7 @@
 
     async def learned(self, iid: str) -> bool:
         """True once a machine is known here, or this book tells of all machines that there are."""
-        until = self.parts.now() + TOLD_S
+        until = self.until(TOLD_S)
         while self.parts.book.number_of(iid) is None and self.parts.now() < self.parts.whole_at:
             left = until - self.parts.now()
             if left <= 0:
@@ -238,7 +244,7 @@
 
     async def known(self, iid: str) -> bool:
         """True once another control front holds what is held here of a machine that leaves."""
-        until = self.parts.now() + TOLD_S
+        until = self.until(TOLD_S)
         while True:
             held, at = self.parts.held, self.parts.book.number_of(iid)
             if at is None or len(self.parts.keeper.view.voters) < 2:
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -43,6 +43,7 @@
 WANT_S = 0.2  # s until the same control front is asked again for what is lacking: its answer is on its way
 SAVE_S = (0.05, 0.8)  # s between tries of a disk that refuses writes, doubled each time
 STOP_S = 1.0  # s for calls that are being answered, and on their way, as the process ends
+ANSWER_S = 0.15  # s before its end in which the process only writes answers
 CALLERS = Limits(idle_s=15.0, head_s=3.0)  # what machines and operators are allowed on their connections
 OVERDUE_S = 0.5  # s between looks at callers' connections
 HANDED_S = 1.5  # s of `Grace` left for the end itself, once seat and copy were handed over or could not be
@@ -394,14 +395,17 @@
         ring(100, ctl=f"{host}:{port}", inner=self.boot.inner, epoch=self.keeper.kept.promised)
         await stop.wait()
         ring(101)
-        server.leave(self.now() + self.boot.bounds.grace_s - HANDED_S)
+        server.leave(inf)
         await self.hand_over()
         if self.keeper.role is Role.PRIMARY:
             self.keeper.step_down(self.now())
             self.carry()
             await asyncio.sleep(TICK_S)  # in which the links take it to the others
         await listener.close()
-        await server.drain(self.now() + STOP_S)
+        server.leave(self.now())
+        ends_at = self.now() + STOP_S
+        self.answers.closes_at = ends_at - ANSWER_S
+        await server.drain(ends_at)
         self.tasks.cancel()
         if self.dialler is not None:
             await self.dialler.close()
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import tempfile
+import time
 from dataclasses import replace
 
 import logbook
 from testtools import TestCase
-from testtools.matchers import Equals, GreaterThan, Is, IsInstance, LessThan
+from testtools.matchers import Contains, Equals, GreaterThan, Is, IsInstance, LessThan, StartsWith
 
 import tests.test_gateway_wire as wire_tests
+from pinward.exchange.host import HANDED_S, STOP_S, Exchange, open_vault
+from pinward.plan.boot import boot_of
 from pinward.switchboard.call import Call, Reply, Send, Wait
 from pinward.switchboard.leaving import SENDS_S, LeaveSchedule
 from pinward.switchboard.lines import Lines
@@ -129,3 +134,53 @@
                 records = asyncio.run(self.left(seed))
             self.assertThat(records.counts[Outcome.SERVED.value], GreaterThan(CLIENTS))
             self.assertThat(records.faults(GRACE_S), Equals([]), f"seed {seed}")
+
+
+class ControlServers(TestCase):
+    """A control server that ends, and what is called as it does."""
+
+    IP = f"127.67.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}"
+    PORT, INNER = 18649, 17620
+    HANDS_OVER_S = 0.3  # s of the grace in which nobody takes over
+
+    def settings(self, folder: str) -> dict[str, object]:
+        return {
+            "Self": {
+                "HostName": "core", "Ipaddr": self.IP, "Az": "here", "Quorum": True, "Init": True,
+                "VarDir": folder,
+            },
+            "Net": {
+                "Bind": {"Ctl": f"{self.IP}:{self.PORT}"}, "PortsIn": [self.INNER, self.INNER + 9],
+                "Peers": [f"{ip}:{self.PORT}" for ip in (self.IP, "127.67.0.2", "127.67.0.3")],
+            },
+            "Plat": {"Hb": "500ms"},
+            "Terms": {
+                "Survive": {"Nodes": 1}, "Bnds": {"Grace": f"{int(1000 * (HANDED_S + self.HANDS_OVER_S))}ms"},
+            },
+        }  # fmt: skip
+
+    async def called_late(self, folder: str) -> bytes:
+        """What a machine gets that says it leaves in the control server's last moments."""
+        boot = boot_of(self.settings(folder)).unwrap()
+        vault, kept = open_vault(boot)
+        stop = asyncio.Event()
+        running = asyncio.ensure_future(Exchange(boot, vault, kept, time.monotonic()).run(stop))
+        await asyncio.sleep(0.1)
+        reader, writer = await asyncio.open_connection(self.IP, self.PORT)
+        writer.write(b"GET /cfg HTTP/1.1\r\nHost: c\r\n\r\n")
+        self.assertThat(await reader.readuntil(b"}"), Contains(b"timeout=2"))
+        stop.set()
+        await asyncio.sleep(self.HANDS_OVER_S + 0.8 * STOP_S)
+        writer.write(b"DELETE /machines/i-1 HTTP/1.1\r\nHost: c\r\n\r\n")
+        reading = asyncio.ensure_future(reader.read(20))
+        await running
+        answer = reading.result() if reading.done() else b""  # its process would be gone
+        reading.cancel()
+        writer.close()
+        return answer
+
+    def test_a_call_that_comes_as_it_ends_is_answered(self) -> None:
+        """Symptom: the connection ended under a call that was read a fifth of a second before the end."""
+        with tempfile.TemporaryDirectory() as folder, logbook.NullHandler().applicationbound():
+            answer = asyncio.run(asyncio.wait_for(self.called_late(folder), 10.0))
+        self.assertThat(answer, StartsWith(b"HTTP/1.1 503"))
