--- a/pinward/switchboard/__main__.py
+++ b/pinward/switchboard/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pinward.common import startup as startup  # first: until then SIGHUP would end the process
 from pinward.trunk import lean as lean  # before all that would load OpenSSL
 
 import asyncio
