A model visits every order of a proxy's end: signal, requests, answers, end of the grace

Cause: each bound of a proxy's end was moved because of one request; nothing showed that they fit together. Change: pinward/switchboard/leaving_model.py explores one connection around the real Connection and LeaveSchedule: no request read in the second half of the grace is given up, none is ended or dropped after it was sent, none is left as the process ends.

--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -10,13 +10,14 @@
 
 import logbook
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, GreaterThan, Is, IsInstance, LessThan, StartsWith
+from testtools.matchers import Contains, Equals, GreaterThan, Is, IsInstance, LessThan, Not, StartsWith
 
 import tests.test_gateway_wire as wire_tests
 from pinward.exchange.host import HANDED_S, STOP_S, Exchange, open_vault
 from pinward.plan.boot import boot_of
 from pinward.switchboard.call import Call, Reply, Send, Wait
 from pinward.switchboard.leaving import SENDS_S, LeaveSchedule
+from pinward.switchboard.leaving_model import PLANTS, Model
 from pinward.switchboard.lines import Lines
 from pinward.switchboard.verdict import Ending, Verdict
 from pinward.tally.tries import Tries
@@ -101,6 +102,18 @@
             self.assertThat(reply.status, Equals(status))
 
 
+class Explored(TestCase):
+    """Every order of signal, requests, answers and passing time on one connection, within bounds."""
+
+    def test_no_order_breaks_a_rule(self) -> None:
+        seen = Model().explore_all(100_000)
+        self.assertThat((seen["broken"], seen["all_within_bounds"]), Equals((None, True)))
+
+    def test_planted_errors_are_found(self) -> None:
+        for plant in PLANTS[1:]:
+            self.assertThat(Model(plant).explore_all(100_000)["broken"], Not(Is(None)), plant)
+
+
 class BusyConnections(TestCase):
     """Clients that always have requests sent, around a whole proxy."""
 
