--- a/pinward/command/gateway_experiments.py
+++ b/pinward/command/gateway_experiments.py
@@ -154,7 +154,7 @@
 
 def draw(
     site: Path, *, seed: int = 0, days: int = 10, into: Path = DRAWN, pairs: bool = False, times: int = 1,
-    work: bool = False, leaving: bool = False,
+    work: bool = False, leaving: bool = False, series: bool = False,
 ) -> int:  # fmt: skip
     """Writes days for the users' bench: troubles of all kinds by chance, one seed a day.
 
@@ -169,20 +169,23 @@
     :param work: days of planned work alone: changes, reloads, restarts in turn, machines that leave; not with
         --pairs
     :param leaving: clients leave early all day, beside all kinds; not with --pairs or --work
+    :param series: proxies are restarted in series that overlap, beside storms of changes; with an odd seed
+        clients leave all day and machines are slow; not with --pairs, --work or --leaving
     """
-    if pairs + work + leaving > 1:
-        print("pinward: pairs, work, leaving: one at most", file=sys.stderr)
+    wanted = {"pairs": pairs, "work": work, "leaving": leaving, "series": series}
+    if sum(wanted.values()) > 1:
+        print(f"pinward: {', '.join(wanted)}: one at most", file=sys.stderr)
         return 2
     if not 1 <= times <= 10 or (times > 1 and pairs):
         print("pinward: times: must be 1 to 10, and 1 with --pairs", file=sys.stderr)
         return 2
-    found = rig("day_draw")
+    found, written = rig("day_draw"), rig("day_write")
     told_site = found.read(site)
     if told_site.is_err():
         print(f"pinward: {told_site.unwrap_err()}", file=sys.stderr)
         return 2
-    sort = found.Sort("pairs" if pairs else "work" if work else "leaving" if leaving else "all")
-    for file in found.write(told_site.unwrap(), range(seed, seed + days), into, sort, times):
+    sort = written.Sort(next((name for name, told in wanted.items() if told), "all"))
+    for file in written.write(told_site.unwrap(), range(seed, seed + days), into, sort, times):
         print(file)
     return 0
 
@@ -257,6 +260,28 @@
     return int(bool(faults))
 
 
+def restarts(
+    *, seeds: int = 3, first: int = 0, seconds: float = 10.0, proxies: int = 3, as_json: bool = False
+) -> int:  # fmt: skip
+    """Restarts a gateway of real processes on loopback in series that overlap, beside reloads and changes.
+
+    Clients use each connection until it ends. Exit 1 where a request was neither served nor safely refused,
+    or taken and given up, or another fault was found. Prints faults.
+
+    :param seeds: how many runs, one after another
+    :param first: the first seed
+    :param seconds: load of each run
+    :param proxies: proxies of each run, 25 MB of memory each
+    :param as_json: prints JSON
+    """
+    found = rig("restarts_soak")
+    runs = [found.played(seed, seconds, proxies) for seed in range(first, first + seeds)]
+    lines([run.figures() for run in runs], as_json)
+    faults = [f"seed {run.seed}: {fault}" for run in runs for fault in run.faults]
+    print("\n".join(faults), end="\n" if faults else "", file=sys.stderr)
+    return int(bool(faults))
+
+
 def changes(
     *, seeds: int = 3, first: int = 0, count: int = 1000, jobs: int = 3, returns: bool = False,
     as_json: bool = False,
@@ -355,5 +380,6 @@
 
 
 EXPERIMENTS = (
-    drill, operators, news, trials, load, model, day, draw, hunt, changes, connections, departures, scale,
+    drill, operators, news, trials, load, model, day, draw, hunt, changes, connections, departures, restarts,
+    scale,
 )  # fmt: skip
--- a/standin/gateway_rig.py
+++ b/standin/gateway_rig.py
@@ -75,6 +75,8 @@
 class Rig:
     """The settings of `cores` exchanges and `fronts` switchboards in a folder."""
 
+    grace_s = 3.0
+
     def __init__(self, folder: Path, cores: int = 3, fronts: int = 2, beat_s: float = BEAT_S) -> None:
         self.folder, self.beat_s = folder, beat_s
         self.cores = [CORES.format(i + 1) for i in range(cores)]
@@ -94,7 +96,7 @@
             },
             "Net": {"Bind": bind, "PortsIn": [INNER, INNER + 9], "Peers": [f"{c}:{CTL}" for c in self.cores]},
             "Plat": {"Hb": f"{self.beat_s}s"},
-            "Terms": {"Survive": {"Nodes": 1}, "Bnds": {"Grace": "3s"}},
+            "Terms": {"Survive": {"Nodes": 1}, "Bnds": {"Grace": f"{self.grace_s}s"}},
         }  # fmt: skip
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(told, indent=1))
--- a/standin/leaving.py
+++ b/standin/leaving.py
@@ -23,6 +23,7 @@
 DEPTHS = (1, 2, 4)  # requests that are always sent on a connection, drawn
 PAUSES_S = (0.0, 0.0, 0.05, 0.3)  # s between an answer and the next request, drawn
 ONCE = 0.2  # share of the connections whose requests may run once: these have one sent at a time
+ONCE_MARK = "o"  # what the ids of requests that may run once begin with
 AGAIN_S = 0.02  # s until a client that was refused a connection tries again
 GRACE_PART_ADMITTED = 0.5  # of the grace: what was sent later is finished, or refused before it runs
 GRACE_PART_AT_WORK = 5 / 6  # of the grace: what is still at work then may be given up, where sent early
@@ -151,7 +152,8 @@
     def send(self, address: Address, writer: asyncio.StreamWriter, once: bool) -> Request:
         """Writes one request."""
         self.asked += 1
-        request = Request(f"{self.name}.{self.asked}", address, asyncio.get_running_loop().time())
+        id_ = f"{ONCE_MARK if once else 'r'}.{self.name}.{self.asked}"
+        request = Request(id_, address, asyncio.get_running_loop().time())
         self.records.requests.append(request)
         verb, path = ("POST", "/book/x") if once else ("GET", "/toy/x")
         fields = [
--- /dev/null
+++ b/standin/restarts_soak.py
@@ -0,0 +1,219 @@
+"""A gateway of real processes on loopback whose proxies are restarted in series that overlap.
+
+Beside the restarts, processes are reloaded at any moment of their life, some are told twice to end, control
+servers are restarted and configurations come in series. Clients use each connection until it ends. Nothing
+unplanned happens, so each request is served, refused before it ran, or known to its client as not read; what
+a leaving proxy gives up was sent early in the grace. Judged are the records of clients and machines.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import tempfile
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import aiohttp
+
+from pinward.switchboard.leaving import HEARD_S
+from standin.connections_drill import IDLES
+from standin.departures import RecordingMachine
+from standin.gateway_rig import EDGE, MACHINES, SOCK, Machine, Rig, plan
+from standin.leaving import ONCE_MARK, Address, BusyClient, Outcome, Records
+
+MACHINES_COUNT = 12
+CLIENTS_BESIDE = 12  # clients of a run, and as many again as a proxy has
+CLIENTS_PER_PROXY = 3
+START_S = 60.0  # s for the gateway to serve its first request at each proxy
+ENDED_S = 6.0  # s for a process to end after SIGTERM: its grace and more
+STEP_S = 0.02  # s between looks at a process that ends
+TERM_GAP_S = (0.05, 0.5)  # s between two SIGTERMs of a series, drawn for each series
+HUP_GAP_S = (0.05, 0.6)  # s between two SIGHUPs
+CHANGE_GAP_S = (0.02, 0.3)  # s between two configurations
+CORE_GAP_S = (2.0, 4.0)  # s between restarts of control servers
+REST_GAP_S = (0.0, 1.0)  # s between two series
+TWICE = 0.2  # share of the processes told to end that are told so again
+LATE_ANSWERS_S = 5.0  # s that clients have for their last answers
+
+
+@dataclass
+class RestartsSoak:
+    """One run. `seconds` of load, after the gateway has come up."""
+
+    seed: int
+    seconds: float
+    folder: Path
+    proxies: int = 3
+    records: Records = field(default_factory=Records)
+    signals: Counter[str] = field(default_factory=Counter)
+    changes: int = 0
+    not_ended: list[str] = field(default_factory=list)  # processes that outlasted their grace
+    end_at: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.chance = Random(self.seed)
+        self.rig = Rig(self.folder, cores=3, fronts=self.proxies)
+        self.machines = [RecordingMachine(f"i-{number:04d}") for number in range(1, MACHINES_COUNT + 1)]
+        self.beats = [Machine(number) for number in range(1, MACHINES_COUNT + 1)]
+        self.processes = self.rig.processes()
+        self.leaving: set[str] = set()  # processes that are being restarted
+
+    @staticmethod
+    def now() -> float:
+        return asyncio.get_running_loop().time()
+
+    @property
+    def over(self) -> bool:
+        return self.now() >= self.end_at
+
+    async def pause(self, span_s: tuple[float, float]) -> None:
+        await asyncio.sleep(self.chance.uniform(*span_s))
+
+    # Planned work.
+
+    async def restart(self, ip: str) -> None:
+        """Tells a process to end, and starts it again once it has."""
+        self.leaving.add(ip)
+        process = self.processes[ip]
+        self.signals["SIGTERM"] += 1
+        self.records.signalled.setdefault((ip, EDGE), []).append(self.now())
+        process.signal(signal.SIGTERM)
+        if self.chance.random() < TWICE:
+            await asyncio.sleep(self.chance.uniform(0.0, 1.0))
+            process.signal(signal.SIGTERM)
+        until = self.now() + ENDED_S
+        while process.alive:
+            if self.now() > until:
+                self.not_ended.append(ip)
+                process.kill()
+            await asyncio.sleep(STEP_S)
+        process.start()
+        self.leaving.discard(ip)
+
+    async def restart_proxies(self) -> None:
+        """One series after another; each tells proxies in turn, whether the last have come back or not."""
+        running: list[asyncio.Task[None]] = []
+        while not self.over:
+            gap_s = self.chance.uniform(*TERM_GAP_S)
+            for ip in self.chance.sample(self.rig.fronts, len(self.rig.fronts)):
+                if self.over:
+                    break
+                if ip not in self.leaving:
+                    running.append(asyncio.ensure_future(self.restart(ip)))
+                await asyncio.sleep(gap_s)
+            await self.pause(REST_GAP_S)
+        await asyncio.gather(*running)
+
+    async def restart_cores(self) -> None:
+        while not self.over:
+            await self.pause(CORE_GAP_S)
+            await self.restart(self.chance.choice(self.rig.cores))
+
+    async def reload(self) -> None:
+        """SIGHUP at any moment of a process's life."""
+        while not self.over:
+            await self.pause(HUP_GAP_S)
+            self.signals["SIGHUP"] += 1
+            self.processes[self.chance.choice(list(self.processes))].signal(signal.SIGHUP)
+
+    async def configure(self, http: aiohttp.ClientSession) -> None:
+        while not self.over:
+            await self.pause(CHANGE_GAP_S)
+            await self.change(http)
+
+    async def change(self, http: aiohttp.ClientSession) -> None:
+        """Puts the next configuration: another idle time, and a route that comes and goes."""
+        self.changes += 1
+        sheet = plan(self.changes)
+        sheet["Caps"]["Idle"] = IDLES[self.changes % len(IDLES)]
+        if self.changes % 2:
+            sheet["Hosts"][0]["Vroutes"].append({**sheet["Hosts"][0]["Vroutes"][0], "Pfx": "/more/"})
+        await self.rig.call(http, "PUT", "/cfg", sheet)
+
+    # Clients.
+
+    def proxy(self) -> Address:
+        """Where a client connects: a proxy that is not known to leave, where there is one."""
+        known = [ip for ip in self.rig.fronts if not self.known_to_leave(ip)]
+        return self.chance.choice(known or self.rig.fronts), EDGE
+
+    def known_to_leave(self, ip: str) -> bool:
+        return ip in self.leaving and self.now() > self.records.signalled[ip, EDGE][-1] + HEARD_S
+
+    async def serving(self, http: aiohttp.ClientSession) -> None:
+        """Waits until all proxies forward. Raises TimeoutError where they do not in time."""
+        async with asyncio.timeout(START_S):
+            for ip in self.rig.fronts:
+                while await self.probe(http, ip) != 200:
+                    await self.change(http)
+                    await asyncio.sleep(0.1)
+
+    @staticmethod
+    async def probe(http: aiohttp.ClientSession, ip: str) -> int:
+        headers = {"Host": "toy.example", "X-Try-Id": "probe", "X-Hold-Ms": "0"}
+        try:
+            async with http.get(f"http://{ip}:{EDGE}/toy/x", headers=headers) as answer:
+                return answer.status
+        except aiohttp.ClientError:
+            return 0
+
+    async def run(self) -> None:
+        for number, machine in enumerate(self.machines, 1):
+            await machine.start(MACHINES.format(number), SOCK)
+        async with self.rig.running(self.processes, self.beats) as http:
+            await self.serving(http)
+            await self.load(http)
+        for machine in self.machines:
+            machine.server.close()
+
+    async def load(self, http: aiohttp.ClientSession) -> None:
+        self.end_at = self.now() + self.seconds
+        clients = [
+            asyncio.ensure_future(
+                BusyClient(f"c{number}", self.seed, self.records, self.proxy, lambda: self.over).run()
+            )
+            for number in range(CLIENTS_BESIDE + CLIENTS_PER_PROXY * self.proxies)
+        ]
+        await asyncio.gather(
+            self.restart_proxies(), self.restart_cores(), self.reload(), self.configure(http)
+        )  # fmt: skip
+        _, late = await asyncio.wait(clients, timeout=LATE_ANSWERS_S)
+        for client in late:
+            client.cancel()
+
+    # The judgement.
+
+    @property
+    def faults(self) -> list[str]:
+        """All that no planned work excuses, a line each."""
+        ran = Counter(work.id for machine in self.machines for work in machine.works)
+        found = self.records.faults(self.rig.grace_s)
+        for request in self.records.requests:
+            if request.outcome is None:
+                found.append(f"{request.id}: no answer and no end")
+            if not request.id.startswith(ONCE_MARK):
+                continue
+            if ran[request.id] > 1:
+                found.append(f"{request.id}: run {ran[request.id]} times")
+            if request.outcome is Outcome.REFUSED and ran[request.id]:
+                found.append(f"{request.id}: refused, and run")
+        return found + [f"{ip}: did not end within its grace" for ip in self.not_ended]
+
+    def figures(self) -> dict[str, object]:
+        """The run in one row."""
+        return {
+            "seed": self.seed, "proxies": self.proxies, "requests": len(self.records.requests),
+            **self.records.counts, "refused_connections": self.records.refused_connections,
+            **self.signals, "changes": self.changes, "faults": len(self.faults),
+        }  # fmt: skip
+
+
+def played(seed: int, seconds: float, proxies: int = 3) -> RestartsSoak:
+    """One run, whole."""
+    with tempfile.TemporaryDirectory() as folder:
+        soak = RestartsSoak(seed, seconds, Path(folder), proxies)
+        asyncio.run(soak.run())
+        return soak
--- a/tests/test_gateway_days.py
+++ b/tests/test_gateway_days.py
@@ -5,13 +5,14 @@
 import json
 import tempfile
 import tomllib
+from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, HasLength, LessThan, MatchesRegex, Not
+from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan, MatchesRegex, Not
 
-from standin import day_draw, day_hunt
+from standin import day_draw, day_hunt, day_series, day_write
 
 SITE = """
 name = "small-gw"
@@ -63,8 +64,8 @@
 class Drawn(InFolder):
     def days(self) -> list[dict[str, Any]]:
         site = day_draw.read(self.site()).unwrap()
-        files = day_draw.write(site, SEEDS, self.folder / "drawn")
-        files += day_draw.write(site, SEEDS, self.folder / "drawn", day_draw.Sort.PAIRS)
+        files = day_write.write(site, SEEDS, self.folder / "drawn")
+        files += day_write.write(site, SEEDS, self.folder / "drawn", day_write.Sort.PAIRS)
         return [tomllib.loads(file.read_text()) for file in files]
 
     def test_all_kinds(self) -> None:
@@ -152,6 +153,21 @@
             self.assertThat(kinds & set(day_draw.LASTING), Not(HasLength(0)))
             self.assertThat(max(told["at"] for told in day["faults"]) < day["length_s"], Equals(True))
 
+    def test_series_of_restarts_overlap_beside_storms_of_changes(self) -> None:
+        site = day_draw.read(self.site()).unwrap()
+        site["machines"] = [{"class": "front", "count": 40}, {"class": "core", "count": 3}]
+        for seed in SEEDS:
+            day = day_series.series(site, seed)
+            self.assertThat(day, Equals(day_series.series(site, seed)))
+            rows = [told for told in day[day_draw.PLAN] if told["kind"] == "roll_term"]
+            self.assertThat({told["on"] for told in rows}, Equals({"front"}))
+            for first, second in pairwise(rows):
+                self.assertThat(second["at"] - first["at"], LessThan(40 * first["gap_s"]))
+            changes = sum(told["count"] for told in day[day_draw.PLAN] if told["kind"] == "config_storm")
+            self.assertThat(changes, GreaterThan(79))
+            kinds = {told["kind"] for told in day[day_draw.FAULTS]}
+            self.assertThat(kinds, Equals({"give_up", "srv_slow"} if seed % 2 else set()))
+
     def test_pairs(self) -> None:
         """Each two of the five points meet within the time that makes them one trouble."""
         days = [day for day in self.days() if day["name"].startswith("paired")]
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -21,6 +21,7 @@
 from pinward.switchboard.lines import Lines
 from pinward.switchboard.verdict import Ending, Verdict
 from pinward.tally.tries import Tries
+from standin import restarts_soak
 from standin.departures import RecordingMachine
 from standin.leaving import BusyClient, Outcome, Records
 from tests.test_gateway_parts import BOUNDS, READ, entry
@@ -31,6 +32,7 @@
 BEFORE_S = 0.5  # s of load before the signal
 LAST_ANSWERS_S = 3.0  # s that clients have for what is left as the proxy has ended
 SEEDS = 2
+SOAK_SEEDS, SOAK_S = (1, 2, 3), 20.0
 
 
 class Schedules(TestCase):
@@ -149,6 +151,17 @@
             self.assertThat(records.faults(GRACE_S), Equals([]), f"seed {seed}")
 
 
+class RealProcesses(TestCase):
+    """The short form of `pinward gateway restarts`."""
+
+    def test_nothing_is_lost_around_restarts_reloads_and_changes_that_overlap(self) -> None:
+        for seed in SOAK_SEEDS:
+            soak = restarts_soak.played(seed, SOAK_S)
+            self.assertThat(soak.faults, Equals([]), f"seed {seed}")
+            self.assertThat(soak.signals["SIGTERM"], GreaterThan(5))
+            self.assertThat(soak.records.counts[Outcome.SERVED.value], GreaterThan(100))
+
+
 class ControlServers(TestCase):
     """A control server that ends, and what is called as it does."""
 
