How late the event loop is stands in the figures; a series of configurations is made once

Cause: whether a proxy saw its clients' leaves late could not be told from its figures: its own count sees by the same clock. Three drills wrote the same series of configurations, two tests the same four machines. Change: pinward_loop_late_seconds_total, and late_s in event 330; changed_plan in the rig; FourMachines in the tests.

--- a/pinward/switchboard/departures.py
+++ b/pinward/switchboard/departures.py
@@ -14,6 +14,7 @@
 from pinward.switchboard.verdict import Kind
 
 OUTLIVE_S = 0.5  # s after the leave from which on work for nobody is a violation
+LATE_LEAST_S = 0.05  # s below which a late event loop is of no account
 SETTLE_S = 0.25  # s that a send may still end by itself: its connection is kept then
 
 
@@ -48,6 +49,9 @@
             "pinward_sends_outlived_client_total",
             "Violations: sends of a request that may run again at work half a second after its client left.",
         )
+        self.late_s = count(
+            "pinward_loop_late_seconds_total", "Seconds by which the event loop was late, over 50 ms each."
+        )
         self.after = count(
             "pinward_sends_after_departure_total", "Violations: sends begun after their client had left."
         )
@@ -57,14 +61,19 @@
         return int(self.outlived.value + self.after.value)
 
     @property
-    def figures(self) -> dict[str, int]:
+    def figures(self) -> dict[str, float]:
         """What the log tells of them."""
         return {
             "departures": int(self.departures.value), "under_way": int(self.under_way.value),
             "cancelled": int(self.cancelled.value), "finishing": int(self.finishing.value),
-            "violations": self.violations,
+            "violations": self.violations, "late_s": round(self.late_s.value, 3),
         }  # fmt: skip
 
+    def waited(self, late_s: float) -> None:
+        """A wait of the event loop ended so much later than it should have."""
+        if late_s > LATE_LEAST_S:
+            self.late_s.add(late_s)
+
     def begins(self, call: Call) -> None:
         """A send begins."""
         if call.left_at is not None:
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -98,8 +98,10 @@
 
     async def step(self) -> None:
         while True:
+            due_at = self.now() + STEP_S
             await asyncio.sleep(STEP_S)
             now = self.now()
+            self.forwarder.departures.waited(now - due_at)
             if now >= self.reread_at:
                 self.reread_at = now + REREAD_S
                 self.reread()
--- a/standin/connections_drill.py
+++ b/standin/connections_drill.py
@@ -23,7 +23,7 @@
 from pinward.plan.boot import Boot, boot_of
 from pinward.plan.schema import plan_of
 from pinward.switchboard.host import Switchboard
-from standin.gateway_rig import plan
+from standin.gateway_rig import changed_plan
 
 PORT = 18641
 ANSWER_S = 4.0  # s after which a client says that it was held: its deadline and more
@@ -31,7 +31,6 @@
 GRACE_S = 3.6  # s of the proxy's grace: some are still at work as it ends
 WORK_S = (0.0, 0.002, 0.01, 0.03)  # s that a machine works, drawn
 THINK_S = (0.0, 0.01, 0.1, 0.4, 1.2)  # s that a connection rests, drawn
-IDLES = ("15000ms", "400ms", "2500ms")  # idle times of the configurations, in turn
 AHEAD_MOST = 6  # requests that a client sends before the first is answered
 AGAIN_S = 0.02  # s until a client that was refused a connection tries again
 FIRST_SPAN_S = 0.25  # s at most from a client's connection to its first request
@@ -139,13 +138,9 @@
         return replace(boot, bind={"Up": (host, 0), "Edge": self.address}, bounds=bounds)
 
     def configure(self, board: Switchboard) -> None:
-        """Puts the next configuration in force: another idle time, and a route that comes and goes."""
+        """Puts the next configuration in force."""
         self.changes += 1
-        sheet = plan(self.changes)
-        sheet["Caps"]["Idle"] = IDLES[self.changes % len(IDLES)]
-        if self.changes % 2:
-            sheet["Hosts"][0]["Vroutes"].append({**sheet["Hosts"][0]["Vroutes"][0], "Pfx": "/more/"})
-        board.known.plan = plan_of(json.dumps(sheet)).unwrap()
+        board.known.plan = plan_of(json.dumps(changed_plan(self.changes))).unwrap()
         board.changed()
 
     def start(self, ports: list[int]) -> tuple[Switchboard, asyncio.Event, asyncio.Future[None]]:
--- a/standin/connections_processes.py
+++ b/standin/connections_processes.py
@@ -14,8 +14,8 @@
 
 import aiohttp
 
-from standin.connections_drill import IDLES, ConnectionsDrill
-from standin.gateway_rig import EDGE, MACHINES, SOCK, Machine, Rig, plan
+from standin.connections_drill import ConnectionsDrill
+from standin.gateway_rig import EDGE, MACHINES, SOCK, Machine, Rig, changed_plan
 from standin.processes import Process
 
 START_S = 20.0  # s for the gateway to serve its first request
@@ -39,13 +39,9 @@
         return self.processes[self.rig.fronts[0]]
 
     async def change(self, http: aiohttp.ClientSession) -> None:
-        """Puts the next configuration: another idle time, and a route that comes and goes."""
+        """Puts the next configuration."""
         self.changes += 1
-        sheet = plan(self.changes)
-        sheet["Caps"]["Idle"] = IDLES[self.changes % len(IDLES)]
-        if self.changes % 2:
-            sheet["Hosts"][0]["Vroutes"].append({**sheet["Hosts"][0]["Vroutes"][0], "Pfx": "/more/"})
-        await self.rig.call(http, "PUT", "/cfg", sheet)
+        await self.rig.call(http, "PUT", "/cfg", changed_plan(self.changes))
 
     async def restart(self) -> None:
         """Ends the proxy by SIGTERM, and starts it again. Raises TimeoutError where it does not end."""
--- a/standin/gateway_rig.py
+++ b/standin/gateway_rig.py
@@ -21,6 +21,7 @@
 CORES, FRONTS, MACHINES = "127.0.61.{}", "127.0.62.{}", "127.0.63.{}"
 CTL, UP, EDGE, SOCK, INNER = 18649, 18640, 18641, 18080, 17620
 BEAT_S = 0.5
+IDLES = ("15000ms", "400ms", "2500ms")  # idle times of a series of configurations, in turn
 
 
 def plan(version: int, service: str = "toy", prefix: str = "/toy/") -> dict[str, Any]:
@@ -39,6 +40,15 @@
     }
 
 
+def changed_plan(version: int) -> dict[str, Any]:
+    """One of a series of configurations: another idle time, and a route that comes and goes."""
+    sheet = plan(version)
+    sheet["Caps"]["Idle"] = IDLES[version % len(IDLES)]
+    if version % 2:
+        sheet["Hosts"][0]["Vroutes"].append({**sheet["Hosts"][0]["Vroutes"][0], "Pfx": "/more/"})
+    return sheet
+
+
 class Machine:
     """One life of a toy machine."""
 
--- a/standin/restarts_soak.py
+++ b/standin/restarts_soak.py
@@ -19,9 +19,8 @@
 import aiohttp
 
 from pinward.switchboard.leaving import HEARD_S
-from standin.connections_drill import IDLES
 from standin.departures import RecordingMachine
-from standin.gateway_rig import EDGE, MACHINES, SOCK, Machine, Rig, plan
+from standin.gateway_rig import EDGE, MACHINES, SOCK, Machine, Rig, changed_plan
 from standin.leaving import ONCE_MARK, Address, BusyClient, Outcome, Records
 
 MACHINES_COUNT = 12
@@ -125,13 +124,9 @@
             await self.change(http)
 
     async def change(self, http: aiohttp.ClientSession) -> None:
-        """Puts the next configuration: another idle time, and a route that comes and goes."""
+        """Puts the next configuration."""
         self.changes += 1
-        sheet = plan(self.changes)
-        sheet["Caps"]["Idle"] = IDLES[self.changes % len(IDLES)]
-        if self.changes % 2:
-            sheet["Hosts"][0]["Vroutes"].append({**sheet["Hosts"][0]["Vroutes"][0], "Pfx": "/more/"})
-        await self.rig.call(http, "PUT", "/cfg", sheet)
+        await self.rig.call(http, "PUT", "/cfg", changed_plan(self.changes))
 
     # Clients.
 
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -12,19 +12,18 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, GreaterThan, Is, IsInstance, LessThan, Not, StartsWith
 
+import tests.test_gateway_parts as parts_tests
 import tests.test_gateway_wire as wire_tests
 from pinward.exchange.host import HANDED_S, STOP_S, Exchange, open_vault
 from pinward.plan.boot import boot_of
 from pinward.switchboard.call import Call, Reply, Send, Wait
 from pinward.switchboard.leaving import SENDS_S, LeaveSchedule
 from pinward.switchboard.leaving_model import PLANTS, Model
-from pinward.switchboard.lines import Lines
 from pinward.switchboard.verdict import Ending, Verdict
-from pinward.tally.tries import Tries
 from standin import restarts_soak
 from standin.departures import RecordingMachine
 from standin.leaving import BusyClient, Outcome, Records
-from tests.test_gateway_parts import BOUNDS, READ, entry
+from tests.test_gateway_parts import READ
 from tests.test_gateway_wire import EDGE
 
 GRACE_S = 3.0
@@ -60,16 +59,9 @@
             self.assertThat(schedule.may_send(now, until), Is(may), f"{now} {until}")
 
 
-class LeavingCalls(TestCase):
+class LeavingCalls(parts_tests.FourMachines):
     """One request's sends as its proxy leaves: SIGTERM comes at 0, the grace is 6 s."""
 
-    def setUp(self) -> None:
-        super().setUp()
-        self.lines, self.tries = Lines("a", 1), Tries(BOUNDS)
-        self.lines.learn(0.0, [entry(n) for n in range(4)], {}, {"s": 100})
-        for _ in range(50):
-            self.tries.request(0.0)
-
     def call(self, taken: float, allow_s: float) -> Call:
         call = Call(replace(READ, timeout_s=9.0), "s", taken, allow_s)
         call.leaving = LeaveSchedule(0.0, 6.0)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -117,7 +117,9 @@
         self.assertRaises(ValueError, order.moved(Stage.DONE).moved, Stage.UNDONE)
 
 
-class Calls(TestCase):
+class FourMachines(TestCase):
+    """Four machines of a service that had fifty requests."""
+
     def setUp(self) -> None:
         super().setUp()
         self.lines, self.tries = Lines("a", 1), Tries(BOUNDS)
@@ -125,6 +127,9 @@
         for _ in range(50):
             self.tries.request(0.0)
 
+
+class Calls(FourMachines):
+
     def play(self, route: Route, *verdicts: tuple[Verdict, int]) -> tuple[int, Reply]:
         """Sends with these endings, in turn; how many there were, and the reply."""
         call, sent = Call(route, "s", 0.0, 1.0), 0
