The judge of busy connections finds a proxy that sends whatever it reads

Cause: nothing showed that the test's own judge sees the fault it guards against, now that the mend is in. Change: the moments of the schedule are planted as before the mend, in the test.

--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -7,6 +7,7 @@
 import tempfile
 import time
 from dataclasses import replace
+from unittest import mock
 
 import logbook
 from testtools import TestCase
@@ -16,6 +17,7 @@
 import tests.test_gateway_wire as wire_tests
 from pinward.exchange.host import HANDED_S, STOP_S, Exchange, open_vault
 from pinward.plan.boot import boot_of
+from pinward.switchboard import leaving
 from pinward.switchboard.call import Call, Reply, Send, Wait
 from pinward.switchboard.leaving import SENDS_S, LeaveSchedule
 from pinward.switchboard.leaving_model import PLANTS, Model
@@ -142,6 +144,14 @@
             self.assertThat(records.counts[Outcome.SERVED.value], GreaterThan(CLIENTS))
             self.assertThat(records.faults(GRACE_S), Equals([]), f"seed {seed}")
 
+    def test_planted_a_proxy_that_sends_whatever_it_reads_is_found(self) -> None:
+        with (
+            mock.patch.multiple(leaving, SENDS_S=GRACE_S, SENDS_PART=1.0),
+            logbook.NullHandler().applicationbound(),
+        ):
+            records = asyncio.run(self.left(0))
+        self.assertThat(records.faults(GRACE_S), Not(Equals([])))
+
 
 class RealProcesses(TestCase):
     """The short form of `pinward gateway restarts`."""
