A request whose body is read as SIGTERM comes is bounded by the schedule too

A request whose body was still coming as the proxy was told to end was sent on whenever it was whole, and could be given up. Cause: the schedule was given to a request as its head was read, and to those already at work; one between the two had none. Change: the schedule is taken as the request begins to be sent. Measured: the new test failed before (the machine was asked 1.2 s after SIGTERM of a grace of 2 s) and passes; tests of busy connections pass.

--- a/pinward/switchboard/forwarding.py
+++ b/pinward/switchboard/forwarding.py
@@ -202,7 +202,6 @@
         body: Body = b""
         service = route.split[0][0] if len(route.split) == 1 else route.service(self.splits.next(route.name))
         call = Call(route, service, now, allow_s)
-        call.leaving = self.leaving
         if request.body_exists:
             if (request.content_length or 0) > plan.body_bytes:
                 return last_answer(413)
@@ -264,6 +263,7 @@
     async def answered(self) -> StreamResponse:
         """The request's answer. Raises ConnectionResetError where one broke off that had begun to go out."""
         self.budget.request(self.shared.now())
+        self.call.leaving = self.shared.leaving
         self.shared.calls.add(self.call)
         try:
             return await self.until_answered()
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -153,6 +153,43 @@
         self.assertThat(records.faults(GRACE_S), Not(Equals([])))
 
 
+class SlowBodies(TestCase):
+    """A request whose body comes slowly, around a SIGTERM."""
+
+    GRACE_S, REST_AFTER_S = 2.0, 1.2
+    HEAD = (
+        b"POST /book/x HTTP/1.1\r\nHost: toy.example\r\nX-Try-Id: 7\r\nX-Deadline-Ms: 9000\r\n"
+        b"Content-Length: 4\r\n\r\nbo"
+    )
+
+    board, taken = wire_tests.Clients.board, wire_tests.Clients.taken
+
+    async def ended_late(self) -> tuple[bytes, int]:
+        """The answer, and how many requests reached the machine."""
+        machine = RecordingMachine("i1")
+        board, stop, running = await self.board(  # type: ignore[misc]
+            await machine.start(), grace_s=self.GRACE_S
+        )
+        reader, writer = await asyncio.open_connection(*EDGE)
+        writer.write(self.HEAD)
+        while not board.forwarder.open:
+            await asyncio.sleep(0)
+        stop.set()
+        await asyncio.sleep(self.REST_AFTER_S)
+        writer.write(b"dy")
+        answer = await reader.read(20)
+        await running
+        writer.close()
+        return answer, len(machine.works)
+
+    def test_one_that_is_whole_too_late_is_refused(self) -> None:
+        """Symptom: a request whose body was read as SIGTERM came was sent on whenever it was whole."""
+        with logbook.NullHandler().applicationbound():
+            answer, asked = asyncio.run(asyncio.wait_for(self.ended_late(), 10.0))
+        self.assertThat(answer, StartsWith(b"HTTP/1.1 503"))
+        self.assertThat(asked, Equals(0))
+
+
 class RealProcesses(TestCase):
     """The short form of `pinward gateway restarts`."""
 
