--- a/standin/day_draw.py
+++ b/standin/day_draw.py
@@ -344,6 +344,12 @@
     return day
 
 
+def leaves_all_day(rng: Random, day: dict[str, Any]) -> dict[str, Any]:
+    """Clients that leave early from a day's first second to its last."""
+    share = amount(rng, "give_up", "share", *KINDS["give_up"].ranges["share"])
+    return {"at": QUIET_S, "kind": "give_up", "share": share, "for_s": day["length_s"] - QUIET_S}
+
+
 def leaving(site: dict[str, Any], seed: int, times: int = 1) -> dict[str, Any]:
     """A day of all kinds on which clients leave early from its first second to its last, and machines are
     slow or full at times; `times` as long, with as much more of it."""
@@ -351,8 +357,7 @@
     day = frame(rng, site, seed, "leaving" if times == 1 else f"leaving-{times}-long", times, LEAVE_LOAD)
     rows = [(side, told) for side in (PLAN, FAULTS) for told in draw(site, seed, times)[side]]
     rows = [(side, told) for side, told in rows if told["at"] < day["length_s"] - QUIET_S]
-    share = amount(rng, "give_up", "share", *KINDS["give_up"].ranges["share"])
-    rows.append((FAULTS, {"at": 1.0, "kind": "give_up", "share": share, "for_s": day["length_s"] - 1.0}))
+    rows.append((FAULTS, leaves_all_day(rng, day)))
     for _ in range(times):
         for name in rng.sample(LASTING, 3):
             rows.append((FAULTS, entry(rng, site, name, rng.uniform(1.0, day["length_s"] - QUIET_S))))
--- a/standin/day_series.py
+++ b/standin/day_series.py
@@ -8,7 +8,7 @@
 from random import Random
 from typing import Any
 
-from standin.day_draw import FAULTS, KINDS, PLAN, QUIET_S, amount, entry, frame
+from standin.day_draw import FAULTS, PLAN, QUIET_S, amount, entry, frame, leaves_all_day
 
 SERIES = (2, 4)  # of restarts, in a day of the site's own length
 TERM_GAP_S = (0.23, 0.48)  # s between two SIGTERMs of a series
@@ -65,9 +65,7 @@
                 at = rng.uniform(first_s + QUIET_S, until_s - QUIET_S)
                 day[FAULTS].append(entry(rng, site, "srv_slow", at))
     if seed % 2:
-        share = amount(rng, "give_up", "share", *KINDS["give_up"].ranges["share"])
-        told = {"at": 1.0, "kind": "give_up", "share": share, "for_s": day["length_s"] - 1.0}
-        day[FAULTS].append(told)
+        day[FAULTS].append(leaves_all_day(rng, day))
     for side in (PLAN, FAULTS):
         day[side].sort(key=lambda told: told["at"])
     return day
