--- a/pinward/exchange/answers.py
+++ b/pinward/exchange/answers.py
@@ -135,7 +135,7 @@
             primary = self.parts.keeper.primary
             if self.parts.keeper.leads(self.parts.now()):
                 answer = await self.carry_out(call, word, said.unwrap(), body, left)
-            elif self.parts.now() - self.parts.fresh_at > WAIT_S:
+            elif self.parts.now() - self.parts.in_touch_at > WAIT_S:
                 break  # the operator goes elsewhere; a takeover is over sooner
             elif primary in self.parts.links and self.parts.links[primary].stands:
                 answer = await self.pass_on(primary, call, word, body, left)
@@ -210,7 +210,7 @@
         return (200, "{}") if await future else (503, fault(UNCLEAR))
 
     async def beat_call(self, iid: str, said: dict[str, Any]) -> Answer:
-        if self.parts.now() - self.parts.fresh_at > ALONE_S:
+        if self.parts.now() - self.parts.in_touch_at > ALONE_S:
             return 503, fault("this control front hears no primary")
         entry = entry_of(iid, said)
         number = self.parts.book.beat(self.parts.now(), entry)
--- a/pinward/exchange/core.py
+++ b/pinward/exchange/core.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Any
 
+from pinward.exchange.committed import Committed
 from pinward.exchange.membership import Change, Membership
 from pinward.exchange.view import (
     ALIVE_S,
@@ -17,7 +18,6 @@
     SPREAD_S,
     Kept,
     Role,
-    Stamp,
     View,
     Word,
     newest,
@@ -34,7 +34,7 @@
         self.heard_at = now  # a start counts: it may have answered a beat just before
         self.helped_at = -inf  # when it accepted a view
         self.bound_to = kept.view.primary  # whom these two times bind it to
-        self.fresh_at = -inf  # when a beat last came of a primary that held its lease
+        self.lease_heard_at = -inf  # when a beat last came of a primary that held its lease
         self.standbys: list[str] = []  # as the primary tells
         self.tell_at = -inf  # when those that the primary doesn't know are told who counts
         self.ticket = self.on_disk = self.view_ticket = 0
@@ -50,13 +50,21 @@
         self.stand_at = now + (BACK_S if kept.view.primary == own else self.patience())
         self.number = newest(kept.items)[1]
         self.answered: dict[str, float] = {}  # when the last beat that a peer answered was sent
-        self.pubs: dict[str, Stamp] = {}
+        self.committed = Committed()  # what views have acknowledged, as far as it was told here
+        self.differs_since: float | None = now  # since when the primary's digest is another; None: it is not
+        self.differs_told = False
+        self.ask_items_at = -inf  # when the primary may be told again what is held here
         self.out: list[tuple[Any, ...]] = []
 
     @property
     def view(self) -> View:
         return self.kept.view
 
+    @property
+    def public(self) -> dict[str, list[Any]]:
+        """What views have acknowledged, by key."""
+        return self.committed.items
+
     def send(self, peer: str, **word: Any) -> None:
         self.out.append(("send", peer, word))
 
--- a/pinward/exchange/desk.py
+++ b/pinward/exchange/desk.py
@@ -6,6 +6,7 @@
 import contextlib
 from collections import Counter, OrderedDict
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp.web_request import BaseRequest
@@ -23,6 +24,16 @@
 ALIKE_S = 0.25  # s that one is kept: seconds told in it grow old
 
 
+@dataclass
+class OrdersTold:
+    """The front's digest and the own one for which a session's front was last told all orders.
+
+    One that holds an order of which this control front was not told differs for longer, and is told once.
+    """
+
+    digests: tuple[str, str] = ("", "")
+
+
 class Desk:
     def __init__(self, parts: Parts, report: Callable[[str, list[Any]], None]) -> None:
         self.parts, self.report = parts, report
@@ -48,7 +59,7 @@
 
     async def attend(self, ws: Any) -> None:
         """A front's session, from its first pull to its end."""
-        front, last = "", 0.0
+        front, last, told = "", 0.0, OrdersTold()
         try:
             while True:
                 try:
@@ -65,7 +76,7 @@
                 if word["reports"]:
                     self.report(front, word["reports"])
                     self.parts.carry()
-                news = await self.news(word["have"], last + GAP_S)
+                news = await self.news(word["have"], last + GAP_S, told)
                 last = self.parts.now()
                 await say_encoded(ws, self.encoded(news, word["have"]))
         except ConnectionError:
@@ -91,7 +102,28 @@
             self.alike.popitem(last=False)
         return told
 
-    async def news(self, have: dict[str, Any], earliest: float) -> dict[str, Any]:
+    def orders_news(self, have: dict[str, Any], told: OrdersTold) -> dict[str, Any]:
+        """All orders, where a front does not hold what is held here; else nothing.
+
+        What it holds is compared by a digest: the newest order alone says nothing of the older ones.
+        """
+        held, own = have.get("orders_digest"), self.parts.orders_digest()
+        if held is None:
+            lacks = self.newest_order() > have["orders"]  # a build that tells no digest
+        else:
+            lacks = held != own and told.digests != (held, own)
+            told.digests = (held, own)
+        if not lacks:
+            return {}
+        orders = [order.plain() for order in self.parts.orders()]
+        return {"orders": orders, "orders_at": self.newest_order()}
+
+    def newest_order(self) -> list[int]:
+        """The stamp of the order committed last."""
+        items = self.parts.keeper.public.items()
+        return max(([item[0], item[1]] for key, item in items if key.startswith(ROLL)), default=[0, 0])
+
+    async def news(self, have: dict[str, Any], earliest: float, told: OrdersTold) -> dict[str, Any]:
         """What a front lacks, as soon as there is something, or after the time that a pull is held."""
         await asyncio.sleep(max(0.0, earliest - self.parts.now()))
         until = self.parts.now() + PULL_S
@@ -102,17 +134,12 @@
             plan = public.get(PLAN)
             if plan is not None and plan[2]["version"] > have["plan"]:
                 found["plan"] = plan[2]["body"]
-            stamp = max(
-                ([item[0], item[1]] for key, item in public.items() if key.startswith(ROLL)), default=[0, 0]
-            )
-            if stamp > have["orders"]:
-                found["orders"] = [order.plain() for order in self.parts.orders()]
-                found["orders_at"] = stamp
+            found.update(self.orders_news(have, told))
             now = self.parts.now()
             lines = self.parts.book.news(now, vector, have["partial"], now >= self.parts.whole_at)
             if lines is not None:
                 found.update(lines.plain())
-            left, fresh = until - self.parts.now(), self.parts.keeper.fresh(self.parts.now())
+            left, fresh = until - self.parts.now(), self.parts.keeper.whole(self.parts.now())
             if found or left <= 0 or fresh != have["fresh"]:
                 found["fronts"] = len(self.fronts)
                 found["fresh"] = fresh
--- a/pinward/exchange/election.py
+++ b/pinward/exchange/election.py
@@ -92,7 +92,7 @@
         """The primary that this machine was bound to leads no longer."""
         if self.role is Role.FOLLOWING and peer == self.bound_to and word["n"] >= self.view.epoch:
             self.freed = word["n"]
-            self.heard_at = self.helped_at = self.fresh_at = -inf
+            self.heard_at = self.helped_at = self.lease_heard_at = -inf
             self.primary = None
             if word["ends"]:
                 self.membership.leaving[peer] = now
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -65,7 +65,8 @@
         self.hinting = False
         self.saving = self.spreading = False
         self.tasks = Tasks(self.fault)
-        self.told_at, self.was_fresh = now, False
+        self.told_at = now
+        self.was_in_touch = self.was_whole = False
         self.began = now
         self.watched, self.reread_at = Watched(), now
 
@@ -292,12 +293,7 @@
             self.drop(peer)
         for peer in sorted(self.keeper.peers - self.links.keys()):
             self.meet(peer)
-        if self.keeper.fresh(now):
-            self.fresh_at = now
-        if self.keeper.fresh(now) != self.was_fresh:
-            self.was_fresh = not self.was_fresh
-            self.whole_at = max(now + WHOLE_S, self.began + self.book.silent_s()) if self.was_fresh else inf
-            self.turn()
+        self.look_at_primary(now)
         self.decide(now)
         if now >= self.told_at + DIGEST_S:
             since, self.told_at = self.told_at, now
@@ -310,6 +306,19 @@
                 self.tasks.spawn(self.hint())
         self.carry()
 
+    def look_at_primary(self, now: float) -> None:
+        """Notes whether a primary is heard, and whether all that it holds is held here; fronts are told."""
+        in_touch, whole = self.keeper.in_touch(now), self.keeper.whole(now)
+        if in_touch:
+            self.in_touch_at = now
+        if in_touch and not self.was_in_touch:
+            self.whole_at = max(now + WHOLE_S, self.began + self.book.silent_s())
+        elif not in_touch:
+            self.whole_at = inf
+        if (in_touch, whole) != (self.was_in_touch, self.was_whole):
+            self.was_in_touch, self.was_whole = in_touch, whole
+            self.turn()
+
     async def hint(self) -> None:
         """Keeps the machines known on disk: after a loss of power calls go through before all have beaten."""
         # Those that ended would be remembered anew with each start, for as long as if they had just ended.
@@ -334,7 +343,7 @@
     def digest(self, now: float, since: float) -> None:
         fronts = self.desk.age(now)
         # One cut off hears nothing of machines that beat elsewhere. Harm: a dead one stays for that long.
-        silent = self.book.age(now) if self.keeper.fresh(now) else []
+        silent = self.book.age(now) if self.keeper.in_touch(now) else []
         for entry in silent:
             ring(230, iid=entry.iid, service=entry.service, standing=entry.standing.name)
         near = self.sources(now)
--- a/pinward/exchange/keeper.py
+++ b/pinward/exchange/keeper.py
@@ -44,11 +44,15 @@
 class Keeper(Election):
     # What the host asks.
 
-    def fresh(self, now: float) -> bool:
-        """True where what is public here is what the primary holds, but for what is on its way."""
+    def in_touch(self, now: float) -> bool:
+        """True where a primary that holds its lease was heard of late, or this machine is it."""
         if self.primary == self.own:  # also while it asks for its next view: its lease still runs
             return now - self.confirmed(now) < LEASE_S
-        return self.primary is not None and now - self.fresh_at < PATIENCE_S
+        return self.primary is not None and now - self.lease_heard_at < PATIENCE_S
+
+    def whole(self, now: float) -> bool:
+        """True where all that the primary holds is known to be held here, but for what is on its way."""
+        return self.in_touch(now) and (self.primary == self.own or self.differs_since is None)
 
     def members(self, now: float) -> list[str]:
         """Control fronts that count, stand by, or are this one: where fronts may go."""
@@ -126,10 +130,10 @@
         for peer in [p for p in self.seen if p not in others]:
             del self.seen[peer]
         for peer in others:
-            if now - self.seen.setdefault(peer, now) > FORGET_S and self.fresh(now):
+            if now - self.seen.setdefault(peer, now) > FORGET_S and self.in_touch(now):
                 self.peers.discard(peer)
                 del self.seen[peer]
-                for some in (self.blanks, self.left_out, self.pubs, self.answered, self.membership.heard):
+                for some in (self.blanks, self.left_out, self.answered, self.membership.heard):
                     some.pop(peer, None)
                 self.membership.taught.discard(peer)
                 self.event(207, peer=peer)
@@ -147,9 +151,12 @@
 
     def beat(self, now: float) -> None:
         self.standbys = self.membership.standbys(now, self.view)
-        lease, view = self.leads(now), self.view.plain()
+        word = {
+            "n": self.epoch, "view": self.view.plain(), "at": now, "lease": self.leads(now),
+            "standbys": self.standbys, "digest": self.committed.digest,
+        }  # fmt: skip
         for peer in sorted(self.peers):
-            self.send(peer, t="beat", n=self.epoch, view=view, at=now, lease=lease, standbys=self.standbys)
+            self.send(peer, t="beat", **word)
 
     def due(self, now: float) -> bool:
         """True where another view would be better than this one."""
@@ -242,8 +249,9 @@
         if self.role is not Role.FOLLOWING:
             self.follow(now)
         self.primary, self.heard_at, self.bound_to = peer, now, peer
+        self.compare(now, peer, word.get("digest"))
         if word["lease"]:
-            self.fresh_at = now
+            self.lease_heard_at = now
         self.granted = set()
         self.stand_at = now + self.patience()
         self.standbys = list(word["standbys"])
@@ -256,7 +264,8 @@
             self.kept.promised, self.kept.view = max(self.kept.promised, view.epoch), view
             self.view_ticket = self.save(now)
         self.send_durable(  # only once the disk knows whom it is bound to
-            self.view_ticket, peer, t="heard", n=word["n"], at=word["at"], pub=list(newest(self.public)),
+            self.view_ticket, peer, t="heard", n=word["n"], at=word["at"], pub=list(self.committed.newest),
+            digest=self.committed.digest, stamps=self.stamps_due(now),
             blank=self.nonce if self.kept.blank else 0,
         )  # fmt: skip
 
@@ -286,4 +295,4 @@
                 self.send(peer, t="transfer", n=self.epoch, items=self.kept.items)
         if not (votes and word["blank"]):
             self.membership.heard[peer] = now
-        self.catch_up(peer, tuple(word["pub"]))
+        self.catch_up(peer, word)
--- a/pinward/exchange/model.py
+++ b/pinward/exchange/model.py
@@ -13,6 +13,7 @@
 from functools import partial
 from typing import Any
 
+from pinward.exchange.committed import Committed
 from pinward.exchange.keeper import Keeper, Kept, Role, View
 from pinward.exchange.membership import Membership
 from pinward.exchange.view import PATIENCE_S, majority
@@ -352,7 +353,7 @@
                 return repr(sorted(value))
             if isinstance(value, dict):
                 return repr(sorted((k, plain(v)) for k, v in value.items()))
-            if isinstance(value, Membership):
+            if isinstance(value, (Membership, Committed)):
                 return plain(vars(value))
             return repr(value)
 
--- a/pinward/exchange/parts.py
+++ b/pinward/exchange/parts.py
@@ -11,7 +11,7 @@
 from pinward.directory.book import Book
 from pinward.exchange.keeper import Keeper, Kept
 from pinward.plan.boot import Boot
-from pinward.trial.order import Order
+from pinward.trial.order import Order, digest_of
 from pinward.trial.tally import Tally
 from pinward.trunk.link import Link
 
@@ -29,8 +29,9 @@
         self.tally = Tally(boot.bounds)
         self.links: dict[str, Link] = {}
         self.have: dict[str, dict[str, Any]] = {}  # what each other control front says that it holds
-        self.fresh_at = now  # when this machine last knew of a primary; a start counts
+        self.in_touch_at = now  # when this machine last knew of a primary; a start counts
         self.whole_at = inf  # from when on the book tells of all machines that there are
+        self.digested = ("", "")  # of what is committed, and of the orders in it
         self.turned = asyncio.Event()  # set, and replaced, at each change that fronts are told
         self.held = asyncio.Event()  # set, and replaced, when another control front says what it holds
 
@@ -46,6 +47,13 @@
         self.held.set()
         self.held = asyncio.Event()
 
+    def orders_digest(self) -> str:
+        """The digest of `orders`, worked out anew where something was committed since."""
+        committed = self.keeper.committed.digest
+        if self.digested[0] != committed:
+            self.digested = (committed, digest_of(self.orders()))
+        return self.digested[1]
+
     def orders(self) -> list[Order]:
         """The roll-outs that a view has acknowledged."""
         return [Order.of(item[2]) for key, item in self.keeper.public.items() if key.startswith(ROLL)]
--- a/pinward/exchange/replication.py
+++ b/pinward/exchange/replication.py
@@ -6,7 +6,16 @@
 from typing import Any
 
 from pinward.exchange.core import Core
-from pinward.exchange.view import ITEMS_MOST, LEASE_S, Kept, Role, Word, newest
+from pinward.exchange.view import (
+    ASK_ITEMS_S,
+    DIFFERS_S,
+    ITEMS_MOST,
+    LEASE_S,
+    Kept,
+    Role,
+    Stamp,
+    Word,
+)
 
 
 @dataclass
@@ -23,7 +32,6 @@
 class Replication(Core):
     def __init__(self, own: str, kept: Kept, lost_most: int, seed: int | str, now: float) -> None:
         super().__init__(own, kept, lost_most, seed, now)
-        self.public: dict[str, list[Any]] = {}  # what a view has acknowledged
         self.open: dict[int, Write] = {}
 
     def leads(self, now: float) -> bool:
@@ -66,19 +74,44 @@
 
     def take(self, key: str, item: list[Any]) -> bool:
         """Takes in what was committed; False where it is not new."""
-        held = self.public.get(key)
-        if held is not None and (held[0], held[1]) >= (item[0], item[1]):
+        if not self.committed.take(key, item):
             return False
-        self.public[key] = list(item)
         self.out.append(("took", key, item[2]))
         return True
 
-    def catch_up(self, peer: str, pub: tuple[int, int]) -> None:
-        """Tells a peer the commits that it lacks, where it lacked them twice: not merely on their way."""
-        if pub < newest(self.public) and self.pubs.get(peer) == pub:
-            items = {key: item for key, item in self.public.items() if (item[0], item[1]) > pub}
-            self.send(peer, t="commit", n=self.epoch, items=items)
-        self.pubs[peer] = pub
+    def compare(self, now: float, primary: str, digest: str | None) -> None:
+        """Compares what is held here with what a primary held as it sent a beat.
+
+        Its commits before that beat came before it, on the same connection: what differs was lost, or was
+        told while this machine was down. A primary of a build that tells no digest is taken at its word.
+        """
+        if digest is None or digest == self.committed.digest:
+            if self.differs_told:
+                self.event(214, primary=primary, keys=len(self.public))
+            self.differs_since, self.differs_told = None, False
+            return
+        self.differs_since = now if self.differs_since is None else self.differs_since
+        if now - self.differs_since > DIFFERS_S and not self.differs_told:
+            self.differs_told = True
+            self.event(209, primary=primary, keys=len(self.public), digest=self.committed.digest)
+
+    def stamps_due(self, now: float) -> dict[str, Stamp] | None:
+        """The stamps of all that is held here, where the primary is to send what differs."""
+        if self.differs_since is None or now < self.ask_items_at:
+            return None
+        self.ask_items_at = now + ASK_ITEMS_S
+        return self.committed.stamps()
+
+    def catch_up(self, peer: str, word: Word) -> None:
+        """Sends a peer the items that it lacks, as its answer to a beat tells."""
+        if word.get("stamps") is not None:
+            items = self.committed.lacking(word["stamps"])
+        elif "digest" not in word and tuple(word["pub"]) < self.committed.newest:
+            items = self.public  # a build that compares nothing
+        else:
+            return
+        self.event(213, peer=peer, keys=len(items))
+        self.send(peer, t="commit", n=self.epoch, items=items)
 
     def on_put(self, now: float, peer: str, word: Word) -> None:
         if self.kept.blank or word["n"] != self.kept.promised or self.view.epoch != word["n"]:
--- a/pinward/exchange/view.py
+++ b/pinward/exchange/view.py
@@ -30,6 +30,8 @@
 LATER_S = 0.4  # s more until one that must end stands: one that stays comes first
 TELL_S = 1.0  # s between two words to one that the primary does not know
 FORGET_S = 60.0  # s unheard until one that is no voter is dialled no longer
+ASK_ITEMS_S = 0.3  # s between two words to the primary on all that is held here: its answer is on its way
+DIFFERS_S = 2.0  # s that a machine may hold other items than the primary until an event says so
 ITEMS_MOST = 4096  # keys of the control state
 PEERS_MOST = 64  # control fronts that one word may name
 
--- a/pinward/trial/order.py
+++ b/pinward/trial/order.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from enum import Enum
+from hashlib import blake2b
 from typing import Any, NamedTuple
 
 
@@ -15,6 +17,8 @@
     UNDONE = "undone"
 
 
+DIGEST_BYTES = 8
+
 MOVES = {Stage.SERVING: (Stage.DONE, Stage.UNDONE)}
 
 
@@ -65,3 +69,16 @@
         service, target, number, base, term_s, stage, *more = plain
         past = tuple(Earlier(*earlier) for earlier in more[0]) if more else ()
         return cls(service, target, number, base, term_s, Stage(stage), past)
+
+    def supersedes(self, held: Order | None) -> bool:
+        """True where this one is to take the place of `held`: a later order, or the end of the same."""
+        if held is None:
+            return True
+        ends, ended = self.stage is not Stage.SERVING, held.stage is not Stage.SERVING
+        return (self.number, ends) > (held.number, ended)
+
+
+def digest_of(orders: Iterable[Order]) -> str:
+    """A digest of what proxies are told of orders, the same for the same orders in whatever sequence."""
+    told = sorted(f"{order.number} {order.stage.value} {order.service}" for order in orders)
+    return blake2b("\n".join(told).encode(), digest_size=DIGEST_BYTES).hexdigest()
--- a/pinward/trunk/session.py
+++ b/pinward/trunk/session.py
@@ -18,7 +18,7 @@
 from pinward.directory.book import Book, News
 from pinward.plan.boot import Boot
 from pinward.plan.routes import Plan, plan_read
-from pinward.trial.order import Order, Stage
+from pinward.trial.order import Order, digest_of
 from pinward.trunk.link import CONNECT_S, DESK, Dialler, say, word_of
 
 NEWS_S = 1.5  # s for an answer to a pull, which is held less than one
@@ -41,15 +41,30 @@
         self.book = Book("", life, boot.beat_s)
         self.forget_at = 0.0
         self.orders: dict[str, Order] = {}
-        self.orders_at = [0, 0]
+        self.orders_at = [0, 0]  # the newest of them, for control fronts of builds that compare no digest
+        self.orders_digest = digest_of(())
         self.fronts, self.fresh = 1, False
 
     def vector(self) -> dict[str, Any]:
         return {
-            "plan": self.plan.version if self.plan else -1, "orders": self.orders_at, "vector":
-            self.book.seen, "partial": self.book.partial, "fresh": self.fresh,
+            "plan": self.plan.version if self.plan else -1, "orders": self.orders_at, "orders_digest":
+            self.orders_digest, "vector": self.book.seen, "partial": self.book.partial, "fresh": self.fresh,
         }  # fmt: skip
 
+    def take_orders(self, plain: list[list[Any]], newest: list[int]) -> bool:
+        """Takes in orders that are later than those held; True for some.
+
+        None is dropped: the list may be of a control front that lacks some.
+        """
+        changed = False
+        self.orders_at = max(self.orders_at, newest)
+        for order in map(Order.of, plain):
+            if order.supersedes(self.orders.get(order.service)):
+                self.orders[order.service], changed = order, True
+        if changed:
+            self.orders_digest = digest_of(self.orders.values())
+        return changed
+
     def take(self, now: float, news: dict[str, Any]) -> bool:
         """Takes news in; True where something changed. Nothing goes back to an older version."""
         changed = False
@@ -59,14 +74,8 @@
             if self.plan is None or plan.version > self.plan.version:
                 self.plan, changed = plan, True
                 ring(302, version=f"{plan.version:08x}", routes=plan.size)
-        if "orders" in news and news["orders_at"] > self.orders_at:
-            self.orders_at, changed = news["orders_at"], True
-            for plain in news["orders"]:
-                order, held = Order.of(plain), self.orders.get(plain[0])
-                if held is None or (order.number, order.stage is not Stage.SERVING) > (
-                    held.number, held.stage is not Stage.SERVING
-                ):  # fmt: skip
-                    self.orders[order.service] = order
+        if "orders" in news:
+            changed = self.take_orders(news["orders"], news["orders_at"]) or changed
         if "lines" in news:
             # None where another session's news was taken between: the next pull says what is held.
             changed = bool(self.book.merge(now, News.of(news))) or changed
--- a/standin/changes.py
+++ b/standin/changes.py
@@ -88,7 +88,7 @@
         for _ in range(3):
             ip = self.day.core_ips[hollow.at % 3]
             host = self.day.hosts.get(ip)
-            if host is not None and self.now() - host[1].fresh_at <= ALONE_S:
+            if host is not None and self.now() - host[1].in_touch_at <= ALONE_S:
                 exchange = host[1]
                 if hollow.entry.standing is Standing.GONE:
                     told = exchange.book.leave(self.now(), hollow.entry.iid)
--- a/standin/exchange_world.py
+++ b/standin/exchange_world.py
@@ -5,7 +5,7 @@
 saw go wrong: an acknowledged write that a later read does not show, a read that went back, two primaries that
 acted in one epoch, a view that names a copy whose disk lacks what was acknowledged, fewer copies after a
 change of the voters, a machine let go while it held a copy that no other took, news handed out as fresh by
-one that was cut off.
+one that was cut off, a machine that lacks what the primary holds though nothing was wrong for a while.
 """
 
 from __future__ import annotations
@@ -28,8 +28,10 @@
 AFTER_S = 1.0  # s between the two steps of a replacement
 STOP_S = 4.5  # s that a machine told to end may wait until its seat and copy are taken
 FRESH_S = 2.0  # s after which a machine cut off from all hands out nothing as fresh
+ALIKE_S = 2.0  # s without trouble within which every machine holds what the primary holds: the users' `Apply`
 KEY = "plan"
 KEYS = (KEY, "roll:a", "roll:b")
+RARE_KEY = "roll:once"  # written once, so that no later write of it hides that a machine was never told
 ORDERS = 8  # orders under way at a time
 TRY_S = (0.05, 0.3)  # s between two tries of an order
 GIVE_UP_S = 6.0  # s until an operator leaves an order
@@ -84,6 +86,7 @@
         self.acks: dict[str, int] = {}  # the highest version acknowledged of each key
         self.version = 0
         self.orders: list[Order] = []
+        self.operating = True
         self.acting: dict[int, set[str]] = {}
         self.views: dict[int, View] = {}  # as begun, by epoch
         self.writes: dict[tuple[str, int, int], tuple[str, int, Order | None]] = {}
@@ -146,7 +149,7 @@
 
     def look(self, box: Box, keeper: Keeper) -> None:
         cut = box.cut_at is not None and self.now - box.cut_at > FRESH_S and len(self.names) > 1
-        if cut and keeper.fresh(self.now):
+        if cut and keeper.whole(self.now):
             self.fault(f"{box.name}, cut off for {FRESH_S} s, hands out news as fresh")
 
     def do(self, name: str, what: Callable[[Keeper], Any]) -> Any:
@@ -403,6 +406,8 @@
 
     def attempt(self, order: Order) -> None:
         """One try at a machine; the order is tried elsewhere until it is answered."""
+        if order not in self.orders:
+            return
         if order.done or self.now > order.until:
             self.orders.remove(order)
             return
@@ -418,6 +423,8 @@
         self.after(self.chance.uniform(*TRY_S), lambda: self.attempt(order))
 
     def operate(self, every_s: float) -> None:
+        if not self.operating:
+            return
         for name in list(self.names):
             for key in KEYS:
                 self.read(name, key)
@@ -431,6 +438,11 @@
             self.attempt(order)
         self.after(every_s, lambda: self.operate(every_s))
 
+    def rest(self) -> None:
+        """Operators write no more, and what they wanted is left."""
+        self.operating = False
+        self.orders.clear()
+
     def settles(self, within_s: float) -> bool:
         """True where, left alone, a primary takes a write within so long, and nothing acknowledged is
         lost.
@@ -465,6 +477,34 @@
                 return True
         return False
 
+    def lacking(self) -> dict[str, list[str]]:
+        """The keys of which a running machine does not hold the primary's version, by machine."""
+        lead = self.primary()
+        keeper = self.boxes[lead].keeper if lead is not None else None
+        if keeper is None:
+            return {}
+        found = {}
+        for name in self.names:
+            other = self.boxes[name].keeper
+            if other is not None and not self.boxes[name].frozen:
+                found[name] = [key for key, item in keeper.public.items() if other.public.get(key) != item]
+        return {name: keys for name, keys in found.items() if keys}
+
+    def converges(self) -> None:
+        """To be called while nothing is wrong and nobody writes: all hold the same soon, and say so."""
+        until = self.now + ALIKE_S
+        while self.now < until and (self.lacking() or not self.all_whole()):
+            self.until(self.now + TICK_S)
+        for name, keys in self.lacking().items():
+            self.fault(f"{name} does not hold what the primary holds: {', '.join(keys)}")
+        if self.primary() is not None and not self.lacking() and not self.all_whole():
+            self.fault("all hold the same, and one says that it does not")
+
+    def all_whole(self) -> bool:
+        """True where every running machine says that it holds what the primary holds."""
+        boxes = [self.boxes[name] for name in self.names]
+        return all(box.keeper is None or box.frozen or box.keeper.whole(self.now) for box in boxes)
+
 
 def trouble(world: World) -> None:
     """One trouble that the users' `Survive` allows, ended before the next."""
@@ -499,6 +539,9 @@
     world = World(seed, size, lost_most, mutate)
     if not (world.settles(4.0) and world.whole(4.0)):
         world.broken.append("no first primary, or too few voters")
+    else:
+        world.put(str(world.primary()), RARE_KEY)
+        world.until(world.now + 0.2)
     world.operate(every_s)
     return world
 
@@ -512,6 +555,8 @@
         world.until(world.now + 3.5 + 4.0)
     if not world.settles(6.0):
         world.broken.append(f"{world.now:.3f} no write is taken any more")
+    world.rest()
+    world.converges()
     return world
 
 
@@ -582,4 +627,6 @@
             break
     if not world.whole(10.0):
         world.fault("the voters are not as many as they should be, or do not run")
+    world.rest()
+    world.converges()
     return world
--- a/standin/gateway_pieces.py
+++ b/standin/gateway_pieces.py
@@ -79,7 +79,7 @@
         bodies[at]["Stat"]["Calls"] = calls
         found = find("PUT", f"/machines/i-{at:06d}{Random(at).getrandbits(32):08x}")
         assert not isinstance(found, int)
-        exchange.fresh_at = exchange.now()
+        exchange.in_touch_at = exchange.now()
         return exchange.answers.answer(*found, json.dumps(bodies[at]).encode())
 
     for n in range(size.machines):
@@ -88,9 +88,9 @@
     told: dict[str, float] = {"a machine's beat": await cost(lambda n: beat(size.machines + n))}
     have = {"plan": -1, "orders": [0, 0], "vector": {}, "fresh": False}
     with mock.patch.object(desk, "PULL_S", 0.0):
-        news = await exchange.desk.news(have, 0.0)
+        news = await exchange.desk.news(have, 0.0, desk.OrdersTold())
         have["vector"] = {source: list(seen) for source, seen in exchange.book.seen.items()}
-        told["a look for news, none"] = await cost(lambda n: exchange.desk.news(have, 0.0))
+        told["a look for news, none"] = await cost(lambda n: exchange.desk.news(have, 0.0, desk.OrdersTold()))
     told["a snapshot packed"] = await cost(lambda n: say(ws, news))
     told["a snapshot, bytes"] = ws.size
     now = exchange.now()
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -355,7 +355,7 @@
                 world.cut({name}, 20.0)
                 world.until(world.now + 1.6)
                 keeper = keeper_of(world, name)
-                self.assertThat(keeper.fresh(world.now), Is(False))
+                self.assertThat(keeper.in_touch(world.now), Is(False))
                 self.assertThat(keeper.leads(world.now), Is(False))
                 self.assertThat(keeper.propose(world.now, "plan", 1), Is(None))
                 self.assertTrue(world.settles(4.0))
@@ -491,7 +491,7 @@
             self.found("was acknowledged")
 
     def test_one_cut_off_hands_out_news_as_fresh(self) -> None:
-        with mock.patch.object(Keeper, "fresh", lambda self, now: self.primary is not None):
+        with mock.patch.object(Keeper, "in_touch", lambda self, now: self.primary is not None):
             self.found("as fresh")
 
 
