--- a/pinward/directory/book.py
+++ b/pinward/directory/book.py
@@ -101,11 +101,14 @@
         self.seen: Vector = {own: (self.life, 0)} if own else {}
         self.partial = False  # a front's copy: what it holds beyond its news is to be looked at again
         self.turn = 0  # rises with each change, from wherever
+        self.departures = 0  # rises with each line of a machine that leaves or left
 
     # Lines.
 
     def put(self, line: Line) -> None:
-        self.drop(line.entry.iid)
+        former = self.drop(line.entry.iid)
+        if line.entry.standing >= Standing.DRAIN and not (former and former.entry.same(line.entry)):
+            self.departures += 1
         self.lines[line.entry.iid] = line
         if self.own:
             self.numbers.setdefault(line.source, {})[line.number] = line.entry.iid
--- a/pinward/exchange/answers.py
+++ b/pinward/exchange/answers.py
@@ -22,7 +22,7 @@
 from pinward.trial.order import Earlier, Order, Stage
 
 CALL_S = 0.9  # s for an answer to an operator, who goes elsewhere after one
-TOLD_S = 0.6  # s for another control front to hold that a machine leaves; it calls elsewhere after one
+TOLD_S = 0.6  # s for enough disks to hold that a machine leaves; it calls elsewhere after one
 ALONE_S = 1.2  # s without a primary until beats are sent elsewhere: what is told here reaches nobody
 WAIT_S = 0.6  # s without a primary in which a call waits for the next: 1.5 s after its last beat in all
 SOON_S = 0.01  # s between looks at a write that is under way
@@ -217,8 +217,8 @@
         if number is not None:
             ring(230, iid=iid, service=entry.service, build=entry.build, standing=entry.standing.name)
             self.parts.spread()
-        if entry.standing is Standing.DRAIN and not await self.known(iid):
-            return 503, fault("no other control front holds it")
+        if entry.standing is Standing.DRAIN and not await self.durable(iid):
+            return 503, fault("too few disks hold it yet")
         return 200, "{}"
 
     async def leave(self, iid: str, said: Any) -> Answer:
@@ -229,7 +229,7 @@
         if self.parts.book.leave(self.parts.now(), iid) is not None:
             ring(230, iid=iid, standing=Standing.GONE.name)
             self.parts.spread()
-        return (200, "{}") if await self.known(iid) else (503, fault("no other control front holds it"))
+        return (200, "{}") if await self.durable(iid) else (503, fault("too few disks hold it yet"))
 
     async def learned(self, iid: str) -> bool:
         """True once a machine is known here, or this book tells of all machines that there are."""
@@ -242,21 +242,14 @@
                 await asyncio.wait_for(self.parts.turned.wait(), left)
         return True
 
-    async def known(self, iid: str) -> bool:
-        """True once another control front holds what is held here of a machine that leaves."""
+    async def durable(self, iid: str) -> bool:
+        """True once as many disks hold that a machine leaves as may be lost, and one more."""
         until = self.until(TOLD_S)
         while True:
-            held, at = self.parts.held, self.parts.book.number_of(iid)
-            if at is None or len(self.parts.keeper.view.voters) < 2:
+            held, line = self.parts.held, self.parts.book.lines.get(iid)
+            others = min(self.parts.boot.lost_most, len(self.parts.keeper.view.voters) - 1)
+            if line is None or self.parts.disks_holding(line) > others:
                 return True
-            source, number = at
-            life = self.parts.book.lines[iid].life
-            if any(
-                h.get(source, ["", 0])[0] == life and h[source][1] >= number for h in self.parts.have.values()
-            ):
-                return True
-            if source != self.parts.own and source in self.parts.have:
-                return True  # it came from there
             left = until - self.parts.now()
             if left <= 0:
                 return False
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -28,7 +28,7 @@
 from pinward.exchange.desk import Desk
 from pinward.exchange.keeper import Kept, Role, View
 from pinward.exchange.parts import PLAN, ROLL, TICK_S, Parts
-from pinward.exchange.vault import MACHINES, Vault
+from pinward.exchange.vault import DEPARTURES, MACHINES, Vault
 from pinward.plan.boot import Boot, Watched
 from pinward.tasks import Tasks
 from pinward.trial.order import Order, Stage
@@ -39,6 +39,7 @@
 REREAD_S = 2.0  # s between looks at the settings file, which may change without a signal
 HINT_S = (1.5, 15.0)  # s between two writings of the machines known, more with over a thousand
 HINT_OLD_S = 30.0  # s by the time of day after which a hint tells of machines that others may have forgotten
+DEPARTURES_S = 0.02  # s between two writes of departures: a release of many machines costs few
 SPREAD_S = 0.02  # s that changes of machines wait for others of the same moment
 WANT_S = 0.2  # s until the same control front is asked again for what is lacking: its answer is on its way
 SAVE_S = (0.05, 0.8)  # s between tries of a disk that refuses writes, doubled each time
@@ -53,6 +54,8 @@
     def __init__(self, boot: Boot, vault: Vault, kept: Kept, now: float, life: str = "") -> None:
         super().__init__(boot, kept, now, life)
         self.vault, self.hints = vault, Vault(vault.folder, MACHINES)
+        self.left = Vault(vault.folder, DEPARTURES)
+        self.writing_departures = False
         self.hinted, self.hint_at = 0, now
         self.answers, self.desk = Answers(self), Desk(self, self.report)
         self.dialler: Dialler | None = None
@@ -142,14 +145,14 @@
 
         def up() -> None:
             # What it lacks it asks for: after a moment's cut that is little.
-            self.have.pop(peer, None)
+            self.disk_vectors.pop(peer, None)
             self.sent[peer] = self.book.seen[self.own]
             self.keeper.met(peer)
-            self.send(peer, {"t": "digest", "beats": [], "fronts": [], "near": [], "vector": self.book.seen})
+            self.send(peer, {"t": "digest", "beats": [], "fronts": [], "near": [], **self.held_here()})
             self.carry()
 
         def down() -> None:
-            self.have.pop(peer, None)
+            self.disk_vectors.pop(peer, None)
 
         hello = {"t": "hello", "from": self.own, "life": self.life}
         self.links[peer] = Link(self.dialler, (peer, self.boot.inner), hello, up, down)
@@ -158,7 +161,7 @@
     def drop(self, peer: str) -> None:
         """Ends the link to a control front that is gone for good."""
         self.dials.pop(peer).cancel()
-        for some in (self.links, self.sent, self.have, self.wanted):
+        for some in (self.links, self.sent, self.disk_vectors, self.wanted):
             some.pop(peer, None)  # type: ignore[attr-defined]
 
     def tell_lines(self, peer: str, news: News) -> None:
@@ -167,6 +170,7 @@
 
     def spread(self) -> None:
         """Tells the other control fronts what is new here, many changes of one moment together."""
+        self.keep_departures()
         if not self.spreading:
             self.spreading = True
             asyncio.get_running_loop().call_later(SPREAD_S, self.spread_now)
@@ -187,11 +191,16 @@
         """Asks for what is lacking here, from where this book stands."""
         if self.now() >= self.wanted.get(peer, 0.0) + WANT_S:
             self.wanted[peer] = self.now()
-            self.send(peer, {"t": "want", "vector": self.book.seen})
+            self.send(peer, {"t": "want", **self.held_here()})
 
-    def holds(self, peer: str, vector: dict[str, Any]) -> None:
-        """A control front says what it holds."""
-        self.have[peer] = vector
+    def held_here(self) -> dict[str, Any]:
+        """What this control front says that it holds: of all machines, and of departures on its disk."""
+        return {"vector": self.book.seen, "on_disk": self.departures.vector}
+
+    def holds(self, peer: str, word: dict[str, Any]) -> None:
+        """A control front says what it holds; one of a build that keeps no departures tells no disk's."""
+        vector = word["vector"]
+        self.disk_vectors[peer] = word.get("on_disk", vector)
         self.turn_held()
         self.book.meet(vector_of(vector))
         if any(self.untold(peer) for peer in self.links):
@@ -238,19 +247,20 @@
                     self.turn()
                 if any(self.untold(peer) for peer in self.links):
                     self.spread()
-                self.send(peer, {"t": "have", "vector": self.book.seen})
+                self.keep_departures()
+                self.send(peer, {"t": "have", **self.held_here()})
             case "have":
-                self.holds(peer, word["vector"])
+                self.holds(peer, word)
             case "digest":
                 self.book.heard(now, word["beats"])
                 self.desk.told(now, word["fronts"])
                 self.told_of.update(dict.fromkeys(word["near"], now))
-                self.holds(peer, word["vector"])
+                self.holds(peer, word)
                 known = {*self.told_of, *self.keeper.view.voters}
                 if any(s in known and self.book.lacks(s, *seen) for s, seen in word["vector"].items()):
                     self.want(peer)
             case "want":
-                self.holds(peer, word["vector"])
+                self.holds(peer, word)
                 news = self.book.changes(now, vector_of(word["vector"]))
                 if peer in self.links and not news.empty:
                     self.tell_lines(peer, news)
@@ -294,6 +304,7 @@
         for peer in sorted(self.keeper.peers - self.links.keys()):
             self.meet(peer)
         self.look_at_primary(now)
+        self.keep_departures()
         self.decide(now)
         if now >= self.told_at + DIGEST_S:
             since, self.told_at = self.told_at, now
@@ -332,6 +343,34 @@
         finally:
             self.hinting = False
 
+    def keep_departures(self) -> None:
+        """Has departures that the disk lacks written, those of a moment together."""
+        if self.departures.due and not self.writing_departures:
+            self.writing_departures = True
+            self.tasks.spawn(self.write_departures())
+
+    async def write_departures(self) -> None:
+        pause_s = SAVE_S[0]
+        try:
+            while self.departures.due:
+                snapshot = self.departures.snapshot(self.now())
+                try:
+                    await self.on_disk(self.left, snapshot.body)
+                except OSError as why:
+                    ring(205, why=f"departures: {why}")
+                    await self.make_room()
+                    await asyncio.sleep(pause_s)
+                    pause_s = min(SAVE_S[1], 2 * pause_s)
+                    continue
+                pause_s = SAVE_S[0]
+                self.departures.written(snapshot)
+                self.turn_held()
+                for peer in self.links:
+                    self.send(peer, {"t": "have", **self.held_here()})
+                await asyncio.sleep(DEPARTURES_S)
+        finally:
+            self.writing_departures = False
+
     async def make_room(self) -> None:
         """The control state goes before the machines known, on a disk that takes no more."""
         await asyncio.get_running_loop().run_in_executor(self.disk, self.hints.empty)
@@ -348,8 +387,9 @@
             ring(230, iid=entry.iid, service=entry.service, standing=entry.standing.name)
         near = self.sources(now)
         word = {
-            "t": "digest", "beats": self.book.lately(since), "fronts": fronts, "near": near, "vector":
-            self.book.seen }  # fmt: skip
+            "t": "digest", "beats": self.book.lately(since), "fronts": fronts, "near": near,
+            **self.held_here(),
+        }  # fmt: skip
         for peer in self.links:
             self.links[peer].send(word)
         if silent:
@@ -363,7 +403,7 @@
         self.told_of = {s: at for s, at in self.told_of.items() if now - at < GONE_S}
         for source in [s for s in self.book.seen if s not in here and s not in self.told_of]:
             self.book.retire(source)
-        for kept in (self.have, self.sent, self.wanted):
+        for kept in (self.disk_vectors, self.sent, self.wanted):
             for peer in [peer for peer in kept if peer not in self.links]:
                 del kept[peer]  # type: ignore[attr-defined]
         return near
@@ -428,6 +468,9 @@
     def begin(self, dialler: Dialler) -> None:
         """At work from here on: links are opened, time is looked at."""
         self.dialler = dialler
+        with contextlib.suppress(OSError, ValueError):
+            # Before the machines known: what left is not brought back by a hint of it as up.
+            self.departures.restore(self.now(), self.left.read() or {"lines": [], "at": 0.0})
         with contextlib.suppress(OSError, ValueError):
             hint = self.hints.read() or {"lines": [], "at": 0.0}
             # One left from long ago would bring back lives that all others have forgotten.
--- a/pinward/exchange/parts.py
+++ b/pinward/exchange/parts.py
@@ -8,7 +8,8 @@
 from math import inf
 from typing import Any
 
-from pinward.directory.book import Book
+from pinward.directory.book import Book, Line
+from pinward.exchange.departures import Departures, covers
 from pinward.exchange.keeper import Keeper, Kept
 from pinward.plan.boot import Boot
 from pinward.trial.order import Order, digest_of
@@ -28,12 +29,14 @@
         self.book = Book(self.own, self.life, boot.beat_s)
         self.tally = Tally(boot.bounds)
         self.links: dict[str, Link] = {}
-        self.have: dict[str, dict[str, Any]] = {}  # what each other control front says that it holds
+        self.departures = Departures(self.book)
+        # Up to where each other control front's disk holds departures, as it says: a vector of versions.
+        self.disk_vectors: dict[str, dict[str, Any]] = {}
         self.in_touch_at = now  # when this machine last knew of a primary; a start counts
         self.whole_at = inf  # from when on the book tells of all machines that there are
         self.digested = ("", "")  # of what is committed, and of the orders in it
         self.turned = asyncio.Event()  # set, and replaced, at each change that fronts are told
-        self.held = asyncio.Event()  # set, and replaced, when another control front says what it holds
+        self.held = asyncio.Event()  # set, and replaced, when some disk holds more departures
 
     @staticmethod
     def now() -> float:
@@ -58,6 +61,10 @@
         """The roll-outs that a view has acknowledged."""
         return [Order.of(item[2]) for key, item in self.keeper.public.items() if key.startswith(ROLL)]
 
+    def disks_holding(self, line: Line) -> int:
+        """On how many disks a departure is known to be."""
+        return sum(covers(vector, line) for vector in (self.departures.vector, *self.disk_vectors.values()))
+
     @abstractmethod
     def carry(self) -> None:
         """Carries out what the keeper put into `out`."""
--- a/pinward/exchange/vault.py
+++ b/pinward/exchange/vault.py
@@ -23,7 +23,9 @@
 from pinward.annunciator import ring
 from pinward.disk import sync
 
-STATE, MACHINES = "state.", "book."  # the control state; the machines known, a hint for the first seconds
+STATE = "state."  # the control state
+MACHINES = "book."  # the machines known, a hint for the first seconds
+DEPARTURES = "left."  # machines that leave or left
 KEPT = 2  # whole generations left on disk: the newest, and one should it be damaged
 ENDINGS = (".dat", ".dir", ".bak")  # of the files that `dbm.dumb` makes
 
--- a/standin/exchange_day.py
+++ b/standin/exchange_day.py
@@ -262,6 +262,9 @@
         core.hints.read = (  # type: ignore[method-assign]
             lambda: json.loads(box["book."]) if "book." in box else None
         )
+        core.left.read = (  # type: ignore[method-assign]
+            lambda: json.loads(box["left."]) if "left." in box else None
+        )
         process.attend = {LINK: core.attend, DESK: core.desk.attend}
         core.begin(dial)
         return core
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -486,12 +486,13 @@
                 host.hear(gone, {"t": "have", "vector": other.seen})
                 host.desk.told(day.now(), [f"front {turn}"])
                 await asyncio.sleep(1.0)
-            for kept in (host.book.seen, host.told_of, host.have, host.sent, host.wanted, host.desk.fronts):
+            vectors = host.disk_vectors
+            for kept in (host.book.seen, host.told_of, vectors, host.sent, host.wanted, host.desk.fronts):
                 self.assertThat(len(kept), LessThan(GONE_S + 8.0))
             self.assertThat(len(host.book.lines), LessThan(GONE_S + 8.0))
             await asyncio.sleep(GONE_S + 2.0)
             self.assertThat(set(host.book.seen), Equals(set(day.core_ips)))
-            self.assertThat(set(host.told_of) | set(host.have) <= set(day.core_ips), Is(True))
+            self.assertThat(set(host.told_of) | set(host.disk_vectors) <= set(day.core_ips), Is(True))
 
         # Who links to whom is the keeper's membership to say.
         with mock.patch("pinward.exchange.host.Exchange.meet", meet_founders):
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -538,7 +538,7 @@
             self.assertThat(host.links, Contains("10.9.9.9"))
             host.keeper.peers.discard("10.9.9.9")
             await asyncio.sleep(0.2)
-            for some in (host.links, host.dials, host.sent, host.have):
+            for some in (host.links, host.dials, host.sent, host.disk_vectors):
                 self.assertThat(some, Not(Contains("10.9.9.9")))
 
         self.played(troubles)
