--- a/pinward/exchange/answers.py
+++ b/pinward/exchange/answers.py
@@ -13,13 +13,13 @@
 from aiohttp.web_response import Response
 
 from pinward.annunciator import ring
-from pinward.directory.entry import Standing
-from pinward.directory.sanctioned import earlier
+from pinward.directory.entry import Entry, Standing
+from pinward.directory.sanctioned import base_of, earlier
 from pinward.exchange.calls import Call, checked, entry_of, find, signed
 from pinward.exchange.forward import Fate, Incoming, Outgoing
 from pinward.exchange.parts import PLAN, ROLL, TICK_S, Parts
 from pinward.plan.schema import plan_of
-from pinward.trial.order import Earlier, Order, Stage
+from pinward.trial.order import Earlier, Order, Stage, record_of
 
 CALL_S = 0.9  # s for an answer to an operator, who goes elsewhere after one
 TOLD_S = 0.6  # s for enough disks to hold that a machine leaves; it calls elsewhere after one
@@ -299,6 +299,7 @@
     ) -> Answer | None:
         """An order beside the last one of its service, of which no change is on its way."""
         target, term_s = asked
+        last = last or self.unwritten_record(service, target)
         if last is None:
             return await self.write(key, self.fresh_order(service, asked, None, ()).kept())
         known = last.known()
@@ -319,19 +320,34 @@
             return await self.write(key, self.fresh_order(service, asked, last, past).kept())
         # Its repeats may come for as long again as after its first send, and to another primary.
         ring(222, service=service, target=target, number=last.number)
-        again = Earlier(target, term_s, max(e.number for e in known) + 1)
-        return await self.write(key, replace(last, past=(again, *others[:PAST_MOST])).kept())
+        again = Earlier(target, term_s, last.next_number())
+        return await self.write(key, replace(last, past=(again, *others[:PAST_MOST]), given=True).kept())
+
+    def entries_of(self, service: str) -> list[Entry]:
+        lines = self.parts.book.lines.values()
+        return [line.entry for line in lines if line.entry.service == service]
+
+    def unwritten_record(self, service: str, target: str) -> Order | None:
+        """The record of a service without order or record, all of whose machines run the target already.
+
+        Without it such an order would leave no version that serves meanwhile, and never end.
+        """
+        entries = self.entries_of(service)
+        runs_it = base_of(entries) == target and not base_of(entries, target)
+        return record_of(service, target, None) if runs_it else None
 
     def fresh_order(
         self, service: str, asked: tuple[str, float], last: Order | None, past: tuple[Earlier, ...]
     ) -> Order:
-        entries = [line.entry for line in self.parts.book.lines.values() if line.entry.service == service]
-        number = 1 + max((e.number for e in last.known()), default=0) if last is not None else 1
-        return Order(service, asked[0], number, earlier(entries, last, asked[0]), asked[1], past=past)
+        number = last.next_number() if last is not None else 1
+        base = earlier(self.entries_of(service), last, asked[0])
+        return Order(service, asked[0], number, base, asked[1], past=past)
 
     async def get_roll(self, service: str, said: Any, body: str) -> Answer | None:
         item = self.parts.keeper.public.get(ROLL + service)
         if item is None:
             return 404, fault("no roll-out of that service")
         order = Order.of(item[2])
+        if not order.given:
+            return 404, fault("no roll-out of that service")
         return 200, json.dumps({"Phase": order.stage.value, "Target": order.target})
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import json
 from concurrent.futures import ThreadPoolExecutor
 from math import inf
 from pathlib import Path
@@ -25,6 +26,7 @@
 from pinward.directory.book import GONE_S, News, vector_of
 from pinward.directory.entry import Standing
 from pinward.exchange.answers import Answers
+from pinward.exchange.base_versions import BaseVersions
 from pinward.exchange.desk import Desk
 from pinward.exchange.keeper import Kept, Role, View
 from pinward.exchange.parts import PLAN, ROLL, TICK_S, Parts
@@ -67,6 +69,8 @@
         self.to_save: tuple[int, bytes] | None = None
         self.hinting = False
         self.saving = self.spreading = False
+        self.versions = BaseVersions()
+        self.named: tuple[int, tuple[str, ...]] = (-1, ())  # a configuration's version and its services
         self.tasks = Tasks(self.fault)
         self.told_at = now
         self.was_in_touch = self.was_whole = False
@@ -122,9 +126,8 @@
             ring(210, version=f"{value['version']:08x}", bytes=len(value["body"]))
         elif key.startswith(ROLL):
             order = Order.of(value)
-            ring(
-                220, service=order.service, target=order.target, number=order.number, stage=order.stage.value
-            )
+            facts = {"service": order.service, "target": order.target, "number": order.number}
+            ring(220 if order.given else 223, **facts, stage=order.stage.value)
             self.answers.learn(self.now(), order)
             if order.stage is Stage.SERVING:
                 self.tally.learn(self.now(), order)
@@ -420,6 +423,7 @@
     def decide(self, now: float) -> None:
         if not self.keeper.leads(now):
             return
+        self.remember_versions(now)
         for order in self.orders():
             if order.stage is not Stage.SERVING:
                 continue
@@ -429,6 +433,29 @@
                 ring(220, service=order.service, target=order.target, asked=stage.value, why=why)
                 self.keeper.propose(now, ROLL + order.service, order.moved(stage).kept())
 
+    def remember_versions(self, now: float) -> None:
+        """Records which versions services run without an order, once all machines are known."""
+        if now < self.whole_at:
+            return
+        entries = [line.entry for line in self.book.lines.values()] if now >= self.versions.look_at else []
+        for record in self.versions.due(now, self.services(), entries, self.held_order):
+            self.keeper.propose(now, ROLL + record.service, record.kept())
+
+    def held_order(self, service: str) -> Order | None:
+        """The last order or record of a service, also one that is being written."""
+        item = self.keeper.kept.items.get(ROLL + service)
+        return Order.of(item[2]) if item is not None else None
+
+    def services(self) -> tuple[str, ...]:
+        """The services that the configuration in force names."""
+        plan = self.keeper.public.get(PLAN)
+        if plan is None:
+            return ()
+        version, body = plan[2]["version"], plan[2]["body"]
+        if self.named[0] != version:
+            self.named = (version, tuple(service["Name"] for service in json.loads(body)["Svcs"]))
+        return self.named[1]
+
     # Life.
 
     async def run(self, stop: asyncio.Event) -> None:
--- a/pinward/trial/order.py
+++ b/pinward/trial/order.py
@@ -34,7 +34,8 @@
 class Order:
     """`number` rises with each order of a service, `base` is the earlier build, `term_s` the time wanted.
 
-    `past` are orders before it, newest first: their repeats are acknowledged and not started again.
+    `past` are orders before it, newest first: their repeats are acknowledged and not started again. One that
+    no operator gave, `given` is False, records which version a service runs without an order.
     """
 
     service: str
@@ -44,6 +45,7 @@
     term_s: float
     stage: Stage = Stage.SERVING
     past: tuple[Earlier, ...] = ()
+    given: bool = True
 
     def moved(self, stage: Stage) -> Order:
         """The one place where an order changes its phase."""
@@ -57,18 +59,24 @@
 
     def known(self) -> tuple[Earlier, ...]:
         """All orders whose repeats are known, this one first."""
-        return (Earlier(self.target, self.term_s, self.number), *self.past)
+        own = (Earlier(self.target, self.term_s, self.number),) if self.given else ()
+        return (*own, *self.past)
+
+    def next_number(self) -> int:
+        """The number of whatever comes after it."""
+        return 1 + max(self.number, *(earlier.number for earlier in self.past), 0)
 
     def kept(self) -> list[Any]:
         """What the control state holds."""
-        return [*self.plain(), [list(earlier) for earlier in self.past]]
+        return [*self.plain(), [list(earlier) for earlier in self.past], self.given]
 
     @classmethod
     def of(cls, plain: list[Any]) -> Order:
-        """An order as told or as kept, also by a build that knew no earlier ones."""
+        """An order as told or as kept, also by a build that knew no earlier ones, or no records."""
         service, target, number, base, term_s, stage, *more = plain
         past = tuple(Earlier(*earlier) for earlier in more[0]) if more else ()
-        return cls(service, target, number, base, term_s, Stage(stage), past)
+        given = bool(more[1]) if len(more) > 1 else True
+        return cls(service, target, number, base, term_s, Stage(stage), past, given)
 
     def supersedes(self, held: Order | None) -> bool:
         """True where this one is to take the place of `held`: a later order, or the end of the same."""
@@ -78,6 +86,12 @@
         return (self.number, ends) > (held.number, ended)
 
 
+def record_of(service: str, build: str, last: Order | None) -> Order:
+    """The record that a service runs a build without an order, in the place of an earlier record."""
+    number = last.next_number() if last is not None else 0
+    return Order(service, build, number, build, 0.0, Stage.DONE, given=False)
+
+
 def digest_of(orders: Iterable[Order]) -> str:
     """A digest of what proxies are told of orders, the same for the same orders in whatever sequence."""
     told = sorted(f"{order.number} {order.stage.value} {order.service}" for order in orders)
--- /dev/null
+++ b/tests/test_gateway_base_versions.py
@@ -0,0 +1,123 @@
+"""Which version runs without an order: recorded once, changed by an order or when its machines are gone."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, Is
+
+from pinward.directory.entry import Entry, Standing
+from pinward.directory.sanctioned import sanctioned
+from pinward.exchange.base_versions import ABSENT_S, LOOK_S, WRITES_MOST, BaseVersions
+from pinward.trial.order import Order, Stage, record_of
+from standin.exchange_day import Day
+from tests.test_gateway_departures_durable import play
+
+KNOWN_S = 7.0  # s after which the control servers know all machines, and which version they run
+
+
+def machines(**counts: int) -> list[Entry]:
+    return [
+        Entry(f"{build}-{n}", "s", ("10.0.0.1", 80 + n), "z", build, 6, Standing.UP, 1)
+        for build, count in counts.items()
+        for n in range(count)
+    ]
+
+
+async def outnumber(day: Day, service: str = "reads") -> None:
+    """A machine of the earlier version leaves; as many and one of a new one come. Nobody orders anything."""
+    old = day.of(service)
+    await day.leave(old[0])
+    for machine in old:
+        day.machine(machine.kind, machine.zone, "v2", warm=True)
+
+
+def builds_run(day: Day, service: str) -> set[str]:
+    return set(Counter(run.build for run in day.works.runs if run.service == service))
+
+
+class Records(TestCase):
+    def due(self, versions: BaseVersions, now: float, some: list[Entry], last: Order | None) -> list[str]:
+        return [record.target for record in versions.due(now, ("s",), some, lambda _: last)]
+
+    def test_a_version_is_recorded_once_and_kept_whatever_comes_beside_it(self) -> None:
+        versions, record = BaseVersions(), record_of("s", "v1", None)
+        self.assertThat(self.due(versions, 1.0, machines(v1=2), None), Equals(["v1"]))
+        for turn in range(60):
+            found = self.due(versions, 2.0 + turn * LOOK_S, machines(v1=1, v2=9), record)
+            self.assertThat(found, Equals([]))
+
+    def test_one_without_machines_for_long_gives_way_to_another(self) -> None:
+        versions, record = BaseVersions(), record_of("s", "v1", None)
+        found = [self.due(versions, float(now), machines(v2=3), record) for now in range(1, 20)]
+        self.assertThat(found.index(["v2"]), Equals(int(ABSENT_S) + 1))
+        self.assertThat(record_of("s", "v2", record).supersedes(record), Is(True))
+        self.assertThat(self.due(versions, 40.0, [], record), Equals([]))
+
+    def test_one_that_was_ordered_is_never_recorded_over(self) -> None:
+        for stage in Stage:
+            order = Order("s", "v1", 1, "v0", 9.0, stage)
+            versions = BaseVersions()
+            found = [self.due(versions, float(now), machines(v2=3), order) for now in range(1, 40)]
+            self.assertThat(found, Equals([[]] * 39))
+
+    def test_a_look_writes_few_and_only_services_of_the_configuration(self) -> None:
+        some = [Entry(f"i{n}", f"s{n}", ("10.0.0.1", 80), "z", "v1", 6, Standing.UP, 1) for n in range(30)]
+        named = [f"s{n}" for n in range(20)]
+        found = BaseVersions().due(1.0, named, some, lambda _: None)
+        self.assertThat(len(found), Equals(WRITES_MOST))
+        self.assertThat({record.service for record in found} <= set(named), Is(True))
+
+    def test_kept_and_read_again_a_record_is_no_order(self) -> None:
+        record = Order.of(record_of("s", "v1", None).kept())
+        self.assertThat((record.given, record.known()), Equals((False, ())))
+        self.assertThat(sanctioned(machines(v1=1, v2=5), record), Equals(("v1", None)))
+        former = Order.of(["s", "v2", 3, "v1", 9.0, "done", []])  # of a build that wrote no records
+        self.assertThat(former.given, Is(True))
+
+
+class Days(TestCase):
+    def test_no_version_runs_that_nobody_ordered_though_most_machines_are_of_it(self) -> None:
+        """Guards against review/3: the version with most machines took all requests."""
+
+        async def troubles(day: Day) -> None:
+            await asyncio.sleep(KNOWN_S)
+            await outnumber(day)
+
+        day = play(troubles, length_s=KNOWN_S + 6.0)
+        self.assertThat(builds_run(day, "reads"), Equals({"v1"}))
+        self.assertThat(len(day.works.runs), GreaterThan(100))
+
+    def test_nor_once_all_servers_and_proxies_were_started_again(self) -> None:
+        async def troubles(day: Day) -> None:
+            await asyncio.sleep(KNOWN_S)
+            await outnumber(day)
+            for ip in (*day.core_ips, *day.front_ips):
+                day.kill(ip, 0.2, power=True)
+            await asyncio.sleep(4.0)
+
+        day = play(troubles, length_s=KNOWN_S + 10.0)
+        self.assertThat(builds_run(day, "reads"), Equals({"v1"}))
+        self.assertThat(max(run.at for run in day.works.runs), GreaterThan(KNOWN_S + 6.0))
+
+    def test_an_order_to_the_version_that_all_run_is_done_and_bars_no_other(self) -> None:
+        """Guards against an order that was acknowledged, left no version to serve, and never ended."""
+        for wait_s in (0.5, KNOWN_S):  # before and after the version is recorded
+            seen: list[tuple[int, str]] = []
+
+            async def troubles(day: Day, wait_s: float = wait_s, seen: list[tuple[int, str]] = seen) -> None:
+                await asyncio.sleep(wait_s)
+                seen.append(((await day.order("GET", "/rolls/reads"))[0], ""))
+                await day.order("POST", "/rolls", {"Svc": "reads", "Target": "v1", "Over": "6s"})
+                status, text = await day.order("GET", "/rolls/reads")
+                seen.append((status, json.loads(text)["Phase"]))
+                await asyncio.sleep(2.0)
+                seen.append(((await day.order("POST", "/rolls", {"Svc": "reads", "Target": "v2"}))[0], ""))
+
+            day = play(troubles, length_s=wait_s + 4.0)
+            self.assertThat(seen, Equals([(404, ""), (200, "done"), (200, "")]), f"{wait_s}")
+            late = [run for run in day.works.runs if run.at > wait_s + 1.0 and run.service == "reads"]
+            self.assertThat(len(late), GreaterThan(20), f"{wait_s}")
