A DELETE of an unknown machine is remembered: a late first beat brings nothing back

Cause: Registry.leave recorded nothing for a life that it did not know. Mend: it records a departure without a service, which beats of that life never end, on disk as all departures are, forgotten after 60 s. The two new tests fail before the mend. Writes of very many departures are spaced by their size, so that a flood of such calls cannot keep a server busy with packing them.

--- a/pinward/directory/book.py
+++ b/pinward/directory/book.py
@@ -19,7 +19,7 @@
 from math import inf
 from typing import Any
 
-from pinward.directory.entry import Entry, Standing
+from pinward.directory.entry import Entry, Standing, unknown
 
 ENTRIES_MOST = 20_000  # lives held: tens of MB; more are not taken
 GONE_S = 60.0  # s that a life which ended is remembered: late beats of it come within seconds
@@ -165,9 +165,14 @@
         return self.write(now, entry, now)
 
     def leave(self, now: float, iid: str) -> int | None:
-        """A machine says that it is gone."""
+        """A machine says that it is gone.
+
+        One that nobody knows is remembered too: its first beat may be on its way.
+        """
         line = self.lines.get(iid)
-        if line is None or line.entry.standing is Standing.GONE:
+        if line is None:
+            return self.write(now, unknown(iid), now) if self.room() else None
+        if line.entry.standing is Standing.GONE:
             return None
         return self.write(now, replace(line.entry, standing=Standing.GONE), now)
 
--- a/pinward/directory/entry.py
+++ b/pinward/directory/entry.py
@@ -54,3 +54,8 @@
     def of(cls, plain: list[Any]) -> Entry:
         iid, service, host, port, zone, build, slots, standing, calls, cold_s = plain
         return cls(iid, service, (host, port), zone, build, slots, Standing(standing), calls, cold_s)
+
+
+def unknown(iid: str) -> Entry:
+    """A life of which nothing is known but that it has left."""
+    return Entry(iid, "", ("", 0), "", "", 0, Standing.GONE, 0)
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -42,6 +42,7 @@
 HINT_S = (1.5, 15.0)  # s between two writings of the machines known, more with over a thousand
 HINT_OLD_S = 30.0  # s by the time of day after which a hint tells of machines that others may have forgotten
 DEPARTURES_S = 0.02  # s between two writes of departures: a release of many machines costs few
+LARGE_BYTES = 200_000  # of departures, from which on the time between two writes grows: packing takes ms
 SPREAD_S = 0.02  # s that changes of machines wait for others of the same moment
 WANT_S = 0.2  # s until the same control front is asked again for what is lacking: its answer is on its way
 SAVE_S = (0.05, 0.8)  # s between tries of a disk that refuses writes, doubled each time
@@ -370,7 +371,7 @@
                 self.turn_held()
                 for peer in self.links:
                     self.send(peer, {"t": "have", **self.held_here()})
-                await asyncio.sleep(DEPARTURES_S)
+                await asyncio.sleep(DEPARTURES_S * max(1.0, len(snapshot.body) / LARGE_BYTES))
         finally:
             self.writing_departures = False
 
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -67,7 +67,7 @@
         limits = {name: service.connections for name, service in plan.services.items()} if plan else {}
         self.forwarder.forget_former_services()
         self.lines.fronts = self.known.fronts
-        entries = [line.entry for line in self.known.book.lines.values()]
+        entries = [line.entry for line in self.known.book.lines.values() if line.entry.service]
         self.lines.learn(now, entries, self.known.orders, limits)
         for service, order in self.known.orders.items():
             held = self.trials.get(service)
--- a/tests/test_gateway_departures_durable.py
+++ b/tests/test_gateway_departures_durable.py
@@ -132,6 +132,35 @@
         self.assertThat(len(writes), LessThan(60))
 
 
+class LateBeats(TestCase):
+    def test_a_first_beat_behind_the_delete_of_a_machine_that_nobody_knew_brings_nothing_back(self) -> None:
+        """Guards against a departure that was forgotten at once since its machine was not known."""
+
+        async def troubles(day: Day) -> None:
+            await asyncio.sleep(7.0)
+            some = day.of("reads")[0]
+            late = day.machine(some.kind, some.zone)
+            beat = day.beat(late)
+            late.standing = Standing.DRAIN  # its first beat stays on its way
+            await says_gone(day, late)
+            await asyncio.sleep(1.5)
+            status, _, _ = await day.call("PUT", f"/machines/{late.iid}", beat)
+            self.assertThat(status, Equals(200))
+            await asyncio.sleep(5.0)
+            held = {day.hosts[ip][1].book.lines[late.iid].entry.standing for ip in day.core_ips}
+            self.assertThat(held, Equals({Standing.GONE}))
+
+        self.assertThat(broken(play(troubles)), Equals([]))
+
+    def test_deletes_of_machines_that_nobody_knows_are_forgotten_in_the_end(self) -> None:
+        book = Book("m", "l", 1.5)
+        for n in range(5):
+            book.leave(0.0, f"i{n}")
+        self.assertThat(len(book.lines), Equals(5))
+        book.age(61.0)
+        self.assertThat(len(book.lines), Equals(0))
+
+
 class Restored(TestCase):
     def restored(self, at_less_s: float) -> Book:
         book, restarted = Book("m", "l", 1.5), Book("m", "k", 1.5)
