Drill of convergence: after troubles all servers and proxies tell what is in force

The drill plays whole gateways in simulated time: processes killed, frozen, cut off, without power or a disk, while configurations, orders, joins, drains and DELETEs overlap; odd seeds play single moments at which one item may be missed. After a quiet bound worked out from the users' figures every server answers alike and as acknowledged, every proxy serves each route by the newest configuration and order, no machine that left is sent a request, and each that is up is.

--- a/pinward/command/gateway_experiments.py
+++ b/pinward/command/gateway_experiments.py
@@ -282,6 +282,25 @@
     return int(bool(faults))
 
 
+def converge(*, seeds: int = 10, first: int = 0, jobs: int = 3, as_json: bool = False) -> int:
+    """Plays troubles that overlap in simulated time, then asks all servers and proxies what is in force.
+
+    Even seeds draw from all kinds, many at the same time; odd ones a few moments at which one item may be
+    missed. Exit 1 where one of them differs from what was acknowledged. Prints faults.
+
+    :param seeds: how many runs
+    :param first: the first seed
+    :param jobs: processes that play
+    :param as_json: prints JSON
+    """
+    found = rig("convergence")
+    runs = found.plays(range(first, first + seeds), jobs)
+    lines([run.figures() for run in runs], as_json)
+    faults = [fault for run in runs for fault in run.faults]
+    print("\n".join(faults), end="\n" if faults else "", file=sys.stderr)
+    return int(bool(faults))
+
+
 def changes(
     *, seeds: int = 3, first: int = 0, count: int = 1000, jobs: int = 3, returns: bool = False,
     as_json: bool = False,
@@ -380,6 +399,6 @@
 
 
 EXPERIMENTS = (
-    drill, operators, news, trials, load, model, day, draw, hunt, changes, connections, departures, restarts,
-    scale,
+    drill, operators, news, trials, load, model, day, draw, hunt, changes, converge, connections, departures,
+    restarts, scale,
 )  # fmt: skip
--- a/tests/test_gateway_convergence.py
+++ b/tests/test_gateway_convergence.py
@@ -19,12 +19,14 @@
 from pinward.plan.boot import Boot, boot_of
 from pinward.trial.order import Order, digest_of
 from pinward.trunk.session import Known
+from standin import convergence
 from standin.exchange_day import START_S, Day, small
 from standin.exchange_world import World, play, play_changes
 from standin.virtual import played
 
 LOOK_S = 0.002  # s between looks for a moment
 READY_S = START_S + 1.5  # s within which a proxy that starts is ready: it tries two control servers at most
+PLANTED_SEEDS = range(1, 20, 2)  # those of single moments, within which each planted error is found
 ROLL_OUT = {"Svc": "reads", "Target": "v2", "Over": "12s"}
 
 
@@ -145,6 +147,19 @@
         self.assertThat(found, Is(True))
 
 
+class Drills(TestCase):
+    """Whole gateways, judged from outside; `pinward gateway converge` plays more."""
+
+    def test_servers_and_proxies_agree_with_what_was_acknowledged_once_it_is_quiet(self) -> None:
+        for seed in range(8):
+            self.assertThat(convergence.play(seed).faults, Equals([]))
+
+    def test_each_planted_error_is_found(self) -> None:
+        for plant in convergence.PLANTS:
+            found = any(convergence.play(seed, plant).faults for seed in PLANTED_SEEDS)
+            self.assertThat(found, Is(True), plant)
+
+
 class Proxies(TestCase):
     def test_proxies_that_start_beside_a_restarted_server_are_ready_and_follow_the_newest(self) -> None:
         """Guards against review/1's other half: proxies of a server that lacked the plan never listened."""
