--- a/tests/test_gateway_convergence.py
+++ b/tests/test_gateway_convergence.py
@@ -21,7 +21,8 @@
 from pinward.trunk.session import Known
 from standin import convergence
 from standin.exchange_day import START_S, Day, small
-from standin.exchange_world import World, play, play_changes
+from standin.exchange_plays import play, play_changes
+from standin.exchange_world import World
 from standin.virtual import played
 
 LOOK_S = 0.002  # s between looks for a moment
--- a/tests/test_gateway_keeper.py
+++ b/tests/test_gateway_keeper.py
@@ -14,7 +14,8 @@
 from pinward.exchange import view as views
 from pinward.exchange.keeper import Keeper
 from pinward.exchange.model import LOSES, explore
-from standin.exchange_world import World, play
+from standin.exchange_plays import play
+from standin.exchange_world import World
 
 WORDS = (
     "pre_vote",
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -19,7 +19,8 @@
 from pinward.exchange.membership import Change, Membership
 from pinward.exchange.view import FORGET_S, SILENT_S
 from standin.exchange_day import Day, small
-from standin.exchange_world import STOP_S, Box, World, play_changes
+from standin.exchange_plays import play_changes
+from standin.exchange_world import STOP_S, Box, World
 from standin.virtual import played
 
 ACK_S = 5.0  # s within which a proper order is to be acknowledged
