--- a/standin/virtual.py
+++ b/standin/virtual.py
@@ -242,6 +242,9 @@
     def arrive(self, message: aiohttp.WSMessage) -> None:
         if self.other is not None and not self.other.closed:
             self.other.come.put_nowait(message)
+        elif self.net.reaches(self.peer, self.own):
+            # Its end was lost in a cut. What comes to a connection that is no more is answered with a reset.
+            asyncio.get_running_loop().call_later(self.net.way_s(self.peer, self.own), self.die, False)
 
     def die(self, tell: bool) -> None:
         if self.closed:
