A full registry keeps departures, and gives no 200 to what it does not hold

Callers: with 20,000 lives known, a DELETE of a machine that nobody knew was answered 200 and written nowhere; a new machine's beat pushed out the departure acknowledged last, or got 200 and stayed unknown.

Cause: departures shared their room with lives that run, and Answers.durable took a life that is not held for one that has been forgotten.

Mend: lives that leave have 20,000 places of their own; only a silent life makes room for another that runs; durable needs the line; a beat of a life that can't be held gets 503 and event 231. It works since what is answered 200 is in the registry, and so in the next write, in each case.

Evidence: the new test fails before it: 200 for 503 at the beat, and, with that line left out, no departures file at all behind the DELETE's 200.

Test changed: a full book was to forget a departure in the moment of its 200. It now asks that it stays, and for both bounds.

--- a/pinward/directory/book.py
+++ b/pinward/directory/book.py
@@ -21,7 +21,8 @@
 
 from pinward.directory.entry import Entry, Standing, unknown
 
-ENTRIES_MOST = 20_000  # lives held: tens of MB; more are not taken
+ENTRIES_MOST = 20_000  # lives held that have not left: tens of MB; more are not taken
+LEFT_MOST = 20_000  # lives held that leave or left; of more the one longest unheard is forgotten
 GONE_S = 60.0  # s that a life which ended is remembered: late beats of it come within seconds
 HINT_S = 2.2  # s that what a disk told of a machine counts without a beat: each beats within two periods
 SILENT_BEATS = 3.3  # beats missed until a machine counts as silent: two may be lost on the way
@@ -102,24 +103,39 @@
         self.partial = False  # a front's copy: what it holds beyond its news is to be looked at again
         self.turn = 0  # rises with each change, from wherever
         self.departures = 0  # rises with each line of a machine that leaves or left
+        self.left = 0  # lines of machines that leave or left
 
     # Lines.
 
     def put(self, line: Line) -> None:
         former = self.drop(line.entry.iid)
-        if line.entry.standing >= Standing.DRAIN and not (former and former.entry.same(line.entry)):
-            self.departures += 1
+        if line.entry.leaves:
+            self.left += 1
+            self.departures += not (former and former.entry.same(line.entry))
+            self.forget_left(line.entry.iid)
         self.lines[line.entry.iid] = line
         if self.own:
             self.numbers.setdefault(line.source, {})[line.number] = line.entry.iid
         self.turn += 1
 
-    def drop(self, iid: str) -> Line | None:
+    def take_out(self, iid: str) -> Line | None:
         line = self.lines.pop(iid, None)
+        if line is not None and line.entry.leaves:
+            self.left -= 1
+        return line
+
+    def drop(self, iid: str) -> Line | None:
+        line = self.take_out(iid)
         if line is not None and self.own:
             del self.numbers[line.source][line.number]
         return line
 
+    def forget_left(self, newest: str) -> None:
+        """Keeps the lives that left bounded, without a word of the newest."""
+        if self.left > LEFT_MOST:
+            left = [line for iid, line in self.lines.items() if line.entry.leaves and iid != newest]
+            self.forget(min(left, key=lambda line: line.heard).entry.iid)
+
     def forget(self, iid: str) -> None:
         """Drops a line for good; copies that may hold what it was before get a snapshot."""
         line = self.drop(iid)
@@ -135,13 +151,16 @@
         return number
 
     def room(self) -> bool:
-        """True where another life can be held: one that ended makes room, the one longest unheard."""
-        if len(self.lines) < ENTRIES_MOST:
+        """True where another life that has not left can be held: a silent one makes room.
+
+        One that left makes none: its departure was acknowledged, and is remembered for its own time.
+        """
+        if len(self.lines) - self.left < ENTRIES_MOST:
             return True
-        ended = [line for line in self.lines.values() if line.entry.standing is not Standing.UP]
-        if not ended:
+        silent = [line for line in self.lines.values() if line.entry.standing is Standing.SILENT]
+        if not silent:
             return False
-        self.forget(min(ended, key=lambda line: line.heard).entry.iid)
+        self.forget(min(silent, key=lambda line: line.heard).entry.iid)
         return True
 
     def silent_s(self) -> float:
@@ -151,9 +170,12 @@
     # What machines say.
 
     def beat(self, now: float, entry: Entry) -> int | None:
-        """A machine's own call. Returns the number of the change it made, None where it changed nothing."""
+        """A machine's own call. Returns the number of the change it made, None where it changed nothing.
+
+        A life that cannot be held is not in `lines` afterwards.
+        """
         line = self.lines.get(entry.iid)
-        if line is None and not self.room():
+        if line is None and not (entry.leaves or self.room()):
             return None
         if line is not None and entry.calls >= line.entry.calls:
             line.heard = line.beaten = now
@@ -171,7 +193,7 @@
         """
         line = self.lines.get(iid)
         if line is None:
-            return self.write(now, unknown(iid), now) if self.room() else None
+            return self.write(now, unknown(iid), now)
         if line.entry.standing is Standing.GONE:
             return None
         return self.write(now, replace(line.entry, standing=Standing.GONE), now)
@@ -179,7 +201,7 @@
     def restore(self, now: float, plain: list[list[Any]]) -> None:
         """Entries kept from an earlier life: a hint, silent within `HINT_S` but for those that beat again."""
         for entry in map(Entry.of, plain):
-            if entry.iid not in self.lines and len(self.lines) < ENTRIES_MOST:
+            if entry.iid not in self.lines and len(self.lines) - self.left < ENTRIES_MOST:
                 self.write(now - max(0.0, self.silent_s() - HINT_S), entry)
 
     def number_of(self, iid: str) -> tuple[str, int] | None:
@@ -238,7 +260,8 @@
     def rewrite(self, source: str) -> None:
         """Gives what is held of a source numbers of this control front's own."""
         for iid in list(self.numbers.pop(source, {}).values()):
-            line = self.lines.pop(iid)
+            line = self.lines[iid]
+            self.take_out(iid)
             number = self.seen[self.own][1] + 1
             self.seen[self.own] = (self.life, number)
             self.put(Line(line.entry, self.own, self.life, number, line.heard, line.beaten))
@@ -359,7 +382,7 @@
                 # A copy that took what is told here has no other reason to hear of what is held here.
                 self.write(line.heard, line.entry, line.beaten)
             return False
-        if line is None and not self.room():
+        if line is None and not (entry.leaves or self.room()):
             if counts:
                 self.floors[told.source] = max(self.floors.get(told.source, 0), told.number)
             return False
--- a/pinward/directory/entry.py
+++ b/pinward/directory/entry.py
@@ -30,13 +30,18 @@
     calls: int
     cold_s: float = 0.0  # how much longer it is slow, at the time it was told
 
+    @property
+    def leaves(self) -> bool:
+        """True where the machine said that it leaves, or that it has left."""
+        return self.standing >= Standing.DRAIN
+
     def newer(self, held: Entry | None) -> bool:
         """True where this one is to take the place of `held`. What leaves never comes back in one life."""
         if held is None:
             return True
-        if (held.standing >= Standing.DRAIN) != (self.standing >= Standing.DRAIN):
-            return self.standing >= Standing.DRAIN
-        if held.standing >= Standing.DRAIN and self.standing != held.standing:
+        if held.leaves != self.leaves:
+            return self.leaves
+        if held.leaves and self.standing != held.standing:
             return self.standing > held.standing
         return (self.calls, self.standing) > (held.calls, held.standing)
 
--- a/pinward/exchange/answers.py
+++ b/pinward/exchange/answers.py
@@ -217,6 +217,9 @@
         if number is not None:
             ring(230, iid=iid, service=entry.service, build=entry.build, standing=entry.standing.name)
             self.parts.spread()
+        if iid not in self.parts.book.lines:
+            ring(231, iid=iid, service=entry.service)
+            return 503, fault("nothing was done: no further machine can be held")
         if entry.standing is Standing.DRAIN and not await self.durable(iid):
             return 503, fault("too few disks hold it yet")
         return 200, "{}"
@@ -248,7 +251,7 @@
         while True:
             held, line = self.parts.held, self.parts.book.lines.get(iid)
             others = min(self.parts.boot.lost_most, len(self.parts.keeper.view.voters) - 1)
-            if line is None or self.parts.disks_holding(line) > others:
+            if line is not None and self.parts.disks_holding(line) > others:
                 return True
             left = until - self.parts.now()
             if left <= 0:
--- a/pinward/exchange/departures.py
+++ b/pinward/exchange/departures.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from pinward.directory.book import GONE_S, Book, Line, Vector
-from pinward.directory.entry import Entry, Standing
+from pinward.directory.entry import Entry
 
 REMEMBERED_LEAST_S = 10.0  # s that a departure read from disk counts, however old the file says that it is
 
@@ -49,7 +49,7 @@
         lines = [
             [*line.entry.plain(), round(max(0.0, now - line.heard), 1)]
             for line in self.book.lines.values()
-            if line.entry.standing >= Standing.DRAIN
+            if line.entry.leaves
         ]
         body = json.dumps({"lines": lines, "at": time()}, separators=(",", ":")).encode()
         return Snapshot(self.book.departures, dict(self.book.seen), body)
@@ -68,7 +68,7 @@
         for *plain, ago in told["lines"]:
             entry = Entry.of(plain)
             heard = now - min(ago + off_s, GONE_S - REMEMBERED_LEAST_S)
-            if entry.iid not in self.book.lines and self.book.room():
+            if entry.iid not in self.book.lines:
                 self.book.write(heard, entry)
 
 
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -223,14 +223,28 @@
             self.assertThat(len(vector), LessThan(3))
         self.assertThat(len(self.a.former), Equals(FORMER_MOST))
 
-    def test_a_full_book_makes_room_of_lives_that_ended_and_loses_none_that_is_up(self) -> None:
-        with mock.patch("pinward.directory.book.ENTRIES_MOST", 10):
+    def test_a_full_book_takes_departures_and_loses_none_that_is_up(self) -> None:
+        with (
+            mock.patch("pinward.directory.book.ENTRIES_MOST", 10),
+            mock.patch("pinward.directory.book.LEFT_MOST", 3),
+        ):
             for number in range(10):
                 self.a.beat(0.0, entry(number))
             self.assertThat(self.a.beat(0.0, entry(10)), Is(None))
             self.a.leave(1.0, "i3")
             self.assertThat(self.a.beat(1.0, entry(11)), GreaterThan(10))
-            self.assertThat(set(self.a.lines), Equals({f"i{n}" for n in (0, 1, 2, 4, 5, 6, 7, 8, 9, 11)}))
+            self.assertThat(set(self.a.lines), Equals({f"i{n}" for n in (*range(10), 11)}))
+            self.assertThat(self.a.beat(1.0, entry(12)), Is(None))
+            for number in range(20, 30):
+                self.assertThat(self.a.leave(2.0 + number, f"i{number}"), GreaterThan(10))
+            left = {iid for iid, line in self.a.lines.items() if line.entry.leaves}
+            self.assertThat((left, self.a.left), Equals(({"i27", "i28", "i29"}, 3)))
+            for line in self.a.lines.values():
+                line.heard = 40.0 if line.entry.iid != "i0" else 30.0
+            self.a.age(40.0)  # one is silent: it makes room
+            self.assertThat(self.a.beat(40.0, entry(13)), GreaterThan(10))
+            self.assertThat("i0" in self.a.lines, Is(False))
+        self.assertThat(self.a.left, Equals(sum(line.entry.leaves for line in self.a.lines.values())))
         self.assertThat(ENTRIES_MOST, GreaterThan(10_000))
 
     def test_a_torn_word_is_none(self) -> None:
--- a/tests/test_gateway_departures_durable.py
+++ b/tests/test_gateway_departures_durable.py
@@ -6,6 +6,7 @@
 import json
 from collections.abc import Awaitable, Callable
 from typing import Any
+from unittest import mock
 
 import logbook
 from testtools import TestCase
@@ -108,6 +109,25 @@
 
         play(troubles, length_s=6.0)
 
+    def test_a_full_registry_acknowledges_no_departure_that_it_does_not_hold(self) -> None:
+        """Guards against a 200 to a `DELETE` for which there was no room: it was written nowhere."""
+
+        async def troubles(day: Day) -> None:
+            await asyncio.sleep(7.0)
+            some = day.of("reads")[0]
+            with mock.patch("pinward.directory.book.ENTRIES_MOST", len(day.machines)):
+                late = day.machine(some.kind, some.zone)
+                late.standing = Standing.DRAIN  # its first beat stays on its way
+                for core in day.core_ips:
+                    up = await day.send(core, "PUT", f"/machines/{late.iid}", {**day.beat(some)})
+                    self.assertThat(up.status, Equals(503))
+                await says_gone(day, late)
+            disks = [json.loads(day.boxes[ip]["left."])["lines"] for ip in day.core_ips]
+            holding = [any(line[0] == late.iid for line in lines) for lines in disks]
+            self.assertThat(sum(holding), GreaterThan(1))
+
+        play(troubles, length_s=10.0)
+
     def test_departures_of_a_moment_cost_few_writes(self) -> None:
         writes: list[str] = []
 
