The disk of a control server stands in modules of its own: storage, machine_records

exchange/host.py had grown to 537 lines, and stood twice the loop that writes until a disk takes it (state, departures). Behaviour as before.

--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -6,12 +6,9 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
-from concurrent.futures import ThreadPoolExecutor
 from math import inf
 from pathlib import Path
-from time import time
 from typing import Any
 
 from aiohttp.web_request import BaseRequest
@@ -24,13 +21,14 @@
 from pinward.common.listener import Listener
 from pinward.common.server import ClientServer
 from pinward.directory.book import GONE_S, News, vector_of
-from pinward.directory.entry import Standing
 from pinward.exchange.answers import Answers
 from pinward.exchange.base_versions import BaseVersions
 from pinward.exchange.desk import Desk
 from pinward.exchange.keeper import Kept, Role, View
+from pinward.exchange.machine_records import MachineRecords
 from pinward.exchange.parts import PLAN, ROLL, TICK_S, Parts
-from pinward.exchange.vault import DEPARTURES, MACHINES, Vault
+from pinward.exchange.storage import Storage
+from pinward.exchange.vault import Vault
 from pinward.plan.boot import Boot, Watched
 from pinward.tasks import Tasks
 from pinward.trial.order import Order, Stage
@@ -39,13 +37,8 @@
 DIGEST_S = 0.5  # s between two words on who was heard
 WHOLE_S = 1.2  # s with a primary until the book is whole again: two digests, and what they make it ask for
 REREAD_S = 2.0  # s between looks at the settings file, which may change without a signal
-HINT_S = (1.5, 15.0)  # s between two writings of the machines known, more with over a thousand
-HINT_OLD_S = 30.0  # s by the time of day after which a hint tells of machines that others may have forgotten
-DEPARTURES_S = 0.02  # s between two writes of departures: a release of many machines costs few
-LARGE_BYTES = 200_000  # of departures, from which on the time between two writes grows: packing takes ms
 SPREAD_S = 0.02  # s that changes of machines wait for others of the same moment
 WANT_S = 0.2  # s until the same control front is asked again for what is lacking: its answer is on its way
-SAVE_S = (0.05, 0.8)  # s between tries of a disk that refuses writes, doubled each time
 STOP_S = 1.0  # s for calls that are being answered, and on their way, as the process ends
 ANSWER_S = 0.15  # s before its end in which the process only writes answers
 CALLERS = Limits(idle_s=15.0, head_s=3.0)  # what machines and operators are allowed on their connections
@@ -56,28 +49,30 @@
 class Exchange(Parts):
     def __init__(self, boot: Boot, vault: Vault, kept: Kept, now: float, life: str = "") -> None:
         super().__init__(boot, kept, now, life)
-        self.vault, self.hints = vault, Vault(vault.folder, MACHINES)
-        self.left = Vault(vault.folder, DEPARTURES)
-        self.writing_departures = False
-        self.hinted, self.hint_at = 0, now
+        self.began = now
+        self.tasks = Tasks(self.fault)
+        self.use(Storage(vault))
         self.answers, self.desk = Answers(self), Desk(self, self.report)
         self.dialler: Dialler | None = None
         self.sent: dict[str, tuple[str, int]] = {}  # own life and changes told to each control front
         self.wanted: dict[str, float] = {}  # when each control front was last asked for what is lacking
         self.told_of: dict[str, float] = {}  # when a source, or one that heard it, last spoke
         self.dials: dict[str, asyncio.Task[Any]] = {}  # what keeps each link up
-        self.disk = ThreadPoolExecutor(1)
         self.to_save: tuple[int, bytes] | None = None
-        self.hinting = False
         self.saving = self.spreading = False
         self.versions = BaseVersions()
         self.named: tuple[int, tuple[str, ...]] = (-1, ())  # a configuration's version and its services
-        self.tasks = Tasks(self.fault)
         self.told_at = now
         self.was_in_touch = self.was_whole = False
-        self.began = now
         self.watched, self.reread_at = Watched(), now
 
+    def use(self, storage: Storage) -> None:
+        """Keeps state and machines there from here on."""
+        self.storage = storage
+        self.records = MachineRecords(
+            self.book, self.departures, storage, self.tasks, self.departures_held, self.began
+        )
+
     def fault(self, task: asyncio.Task[Any], why: BaseException) -> None:
         ring(110, call=task.get_coro(), why=repr(why))
 
@@ -102,20 +97,12 @@
             self.tasks.spawn(self.save())
 
     async def save(self) -> None:
-        pause_s = SAVE_S[0]
+        """Has the newest control state written, until the disk holds all that was to be saved."""
         try:
-            while self.to_save is not None:
-                (ticket, body), self.to_save = self.to_save, None
-                try:
-                    await self.on_disk(self.vault, body)
-                except OSError as why:
-                    ring(205, why=why)
-                    self.to_save = self.to_save or (ticket, body)
-                    await self.make_room()
-                    await asyncio.sleep(pause_s)
-                    pause_s = min(SAVE_S[1], 2 * pause_s)
-                    continue
-                pause_s = SAVE_S[0]
+            while (due := self.to_save) is not None:
+                ticket = await self.storage.write_newest(self.storage.state, lambda: self.to_save or due)
+                if self.to_save is not None and self.to_save[0] == ticket:
+                    self.to_save = None
                 self.keeper.saved(self.now(), ticket)
                 self.carry()
         finally:
@@ -313,12 +300,7 @@
         if now >= self.told_at + DIGEST_S:
             since, self.told_at = self.told_at, now
             self.digest(now, since)
-        if self.book.turn != self.hinted and now >= self.hint_at:
-            # Guards against a processor busy with hints: ten thousand lives take tens of milliseconds.
-            self.hint_at = now + min(HINT_S[1], max(HINT_S[0], HINT_S[0] * len(self.book.lines) / 1000))
-            if not self.hinting:  # one that hangs holds up no others behind it
-                self.hinted, self.hinting = self.book.turn, True
-                self.tasks.spawn(self.hint())
+        self.records.keep_hint(now)
         self.carry()
 
     def look_at_primary(self, now: float) -> None:
@@ -334,54 +316,15 @@
             self.was_in_touch, self.was_whole = in_touch, whole
             self.turn()
 
-    async def hint(self) -> None:
-        """Keeps the machines known on disk: after a loss of power calls go through before all have beaten."""
-        # Those that ended would be remembered anew with each start, for as long as if they had just ended.
-        lines = [
-            line.entry.plain() for line in self.book.lines.values() if line.entry.standing is Standing.UP
-        ]
-        try:
-            await self.on_disk(self.hints, packed({"lines": lines, "at": time()}).encode())
-        except OSError as why:
-            ring(205, why=f"hint: {why}")
-        finally:
-            self.hinting = False
-
     def keep_departures(self) -> None:
-        """Has departures that the disk lacks written, those of a moment together."""
-        if self.departures.due and not self.writing_departures:
-            self.writing_departures = True
-            self.tasks.spawn(self.write_departures())
-
-    async def write_departures(self) -> None:
-        pause_s = SAVE_S[0]
-        try:
-            while self.departures.due:
-                snapshot = self.departures.snapshot(self.now())
-                try:
-                    await self.on_disk(self.left, snapshot.body)
-                except OSError as why:
-                    ring(205, why=f"departures: {why}")
-                    await self.make_room()
-                    await asyncio.sleep(pause_s)
-                    pause_s = min(SAVE_S[1], 2 * pause_s)
-                    continue
-                pause_s = SAVE_S[0]
-                self.departures.written(snapshot)
-                self.turn_held()
-                for peer in self.links:
-                    self.send(peer, {"t": "have", **self.held_here()})
-                await asyncio.sleep(DEPARTURES_S * max(1.0, len(snapshot.body) / LARGE_BYTES))
-        finally:
-            self.writing_departures = False
+        """Has departures that the disk lacks written."""
+        self.records.keep_departures(self.now)
 
-    async def make_room(self) -> None:
-        """The control state goes before the machines known, on a disk that takes no more."""
-        await asyncio.get_running_loop().run_in_executor(self.disk, self.hints.empty)
-
-    async def on_disk(self, vault: Vault, body: bytes) -> None:
-        """A new generation, written beside all else: a disk that hangs stops no beat. Raises OSError."""
-        await asyncio.get_running_loop().run_in_executor(self.disk, vault.write, body)
+    def departures_held(self) -> None:
+        """The disk holds more departures: whoever waits for it is told, here and at other control fronts."""
+        self.turn_held()
+        for peer in self.links:
+            self.send(peer, {"t": "have", **self.held_here()})
 
     def digest(self, now: float, since: float) -> None:
         fronts = self.desk.age(now)
@@ -496,15 +439,7 @@
     def begin(self, dialler: Dialler) -> None:
         """At work from here on: links are opened, time is looked at."""
         self.dialler = dialler
-        with contextlib.suppress(OSError, ValueError):
-            # Before the machines known: what left is not brought back by a hint of it as up.
-            self.departures.restore(self.now(), self.left.read() or {"lines": [], "at": 0.0})
-        with contextlib.suppress(OSError, ValueError):
-            hint = self.hints.read() or {"lines": [], "at": 0.0}
-            # One left from long ago would bring back lives that all others have forgotten.
-            if abs(time() - hint.get("at", 0.0)) < HINT_OLD_S:
-                self.book.restore(self.now(), hint["lines"])
-            self.hinted = self.book.turn
+        self.records.restore(self.now())
         self.meet_all()
         self.tasks.spawn(self.beat())
 
--- a/standin/exchange_day.py
+++ b/standin/exchange_day.py
@@ -12,6 +12,7 @@
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
+from functools import partial
 from pathlib import Path
 from random import Random
 from types import SimpleNamespace
@@ -22,6 +23,7 @@
 from pinward.directory.entry import Standing
 from pinward.exchange.host import Exchange
 from pinward.exchange.keeper import Kept, View
+from pinward.exchange.storage import Storage
 from pinward.exchange.vault import Vault
 from pinward.plan.boot import Boot, boot_of
 from pinward.switchboard.host import Switchboard
@@ -150,22 +152,32 @@
     )  # fmt: skip
 
 
-class Core(Exchange):
-    """An exchange whose disk is a box of the day's."""
+class BoxStorage(Storage):
+    """A disk that is a box of the day's: bodies by the prefix of their vault."""
 
-    disk_s: Callable[[], float]
-    disk_full: Callable[[], bool]
-    box: dict[str, bytes]
-    faults: list[str]
+    def __init__(self, box: dict[str, bytes], write_s: Callable[[], float], full: Callable[[], bool]) -> None:
+        super().__init__(Vault(Path(".")))
+        self.box, self.write_s, self.full = box, write_s, full
+        for vault in (self.departures, self.hint):
+            vault.read = partial(self.read, vault)  # type: ignore[method-assign]
+
+    def read(self, vault: Vault) -> Any:
+        return json.loads(self.box[vault.prefix]) if vault.prefix in self.box else None
 
-    async def on_disk(self, vault: Vault, body: bytes) -> None:
-        await asyncio.sleep(self.disk_s())
-        if self.disk_full():
+    async def write(self, vault: Vault, body: bytes) -> None:
+        await asyncio.sleep(self.write_s())
+        if self.full():
             raise OSError("the disk takes no more")
         self.box[vault.prefix] = body
 
     async def make_room(self) -> None:
-        self.box.pop("book.", None)
+        self.box.pop(self.hint.prefix, None)
+
+
+class Core(Exchange):
+    """An exchange of the day's, which tells it of faults."""
+
+    faults: list[str]
 
     def fault(self, task: asyncio.Task[Any], why: BaseException) -> None:
         super().fault(task, why)
@@ -253,18 +265,13 @@
         if "state." in box:
             kept = Kept.of(json.loads(box["state."]))
         core = Core(boot, Vault(Path(".")), kept, self.now(), life)
-        core.box, chance = box, Random(f"disk.{life}.{self.seed}")
+        chance = Random(f"disk.{life}.{self.seed}")
         core.faults = self.net.faults
-        core.disk_s = lambda: (
-            self.shape.sync_s * chance.uniform(0.8, 1.5) * self.slow_disks.get(boot.ip, 1.0)
-        )
-        core.disk_full = lambda: boot.ip in self.full_disks
-        core.hints.read = (  # type: ignore[method-assign]
-            lambda: json.loads(box["book."]) if "book." in box else None
-        )
-        core.left.read = (  # type: ignore[method-assign]
-            lambda: json.loads(box["left."]) if "left." in box else None
-        )
+
+        def write_s() -> float:
+            return self.shape.sync_s * chance.uniform(0.8, 1.5) * self.slow_disks.get(boot.ip, 1.0)
+
+        core.use(BoxStorage(box, write_s, lambda: boot.ip in self.full_disks))
         process.attend = {LINK: core.attend, DESK: core.desk.attend}
         core.begin(dial)
         return core
@@ -359,8 +366,13 @@
         for c in self.shape.classes:
             routes.append(
                 {
-                    "Name": c.name, "Pfx": PREFIX.format(c.name), "Type": "idem" if c.repeatable else "once",
-                    "Tmo": f"{c.deadline_s}s", "Goal": f"{c.aim_s}s", "Prio": c.rank, "Tries": c.tries,
+                    "Name": c.name,
+                    "Pfx": PREFIX.format(c.name),
+                    "Type": "idem" if c.repeatable else "once",
+                    "Tmo": f"{c.deadline_s}s",
+                    "Goal": f"{c.aim_s}s",
+                    "Prio": c.rank,
+                    "Tries": c.tries,
                     "Svc": c.service,
                 }  # fmt: skip
             )
--- a/standin/gateway_pieces.py
+++ b/standin/gateway_pieces.py
@@ -108,7 +108,7 @@
         exchange.hear(peer, {**word, "beats": beats, "vector": exchange.book.seen})
 
     told["a digest heard"] = await cost(hear)
-    told["a hint to disk"] = await cost(lambda n: exchange.hint())
+    told["a hint to disk"] = await cost(lambda n: exchange.records.write_hint())
     body = json.dumps(plan(1, size))
     told["a configuration, bytes"] = len(body)
     told["a configuration checked"] = await cost(lambda n: void(plan_of(body)))
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -23,7 +23,8 @@
 
 from pinward.directory.book import ENTRIES_MOST, FORMER_MOST, GONE_S, Book, News
 from pinward.directory.entry import Entry, Standing
-from pinward.exchange.host import HINT_OLD_S, Exchange
+from pinward.exchange.host import Exchange
+from pinward.exchange.machine_records import HINT_OLD_S
 from pinward.exchange.vault import KEPT, Vault
 from pinward.plan.boot import boot_of
 from pinward.trial.order import Order, Stage
--- a/tests/test_gateway_departures_durable.py
+++ b/tests/test_gateway_departures_durable.py
@@ -134,15 +134,15 @@
         async def troubles(day: Day) -> None:
             await asyncio.sleep(1.0)
             for ip in day.core_ips:
-                host = day.hosts[ip][1]
-                whole = host.on_disk
+                storage = day.hosts[ip][1].storage
+                whole = storage.write
 
                 async def counted(vault: Any, body: bytes, whole: Any = whole, ip: str = ip) -> None:
                     if vault.prefix == "left.":
                         writes.append(ip)
                     await whole(vault, body)
 
-                host.on_disk = counted
+                storage.write = counted
             some = [day.machine(day.of("reads")[0].kind, "z0", warm=True) for _ in range(60)]
             await asyncio.sleep(1.0)
             await asyncio.gather(*(says_gone(day, machine) for machine in some))
