Deciding on roll-outs stands in exchange/rollouts.py, apart from the host's I/O

exchange/host.py held reports, decisions and records of versions beside links and disk; the last order of a service was looked up in three places, and a 404 stood twice. Change: Rollouts; Parts.held_order serves all; one 404; versions are looked for only when a look is due. Behaviour as before.

--- a/pinward/exchange/answers.py
+++ b/pinward/exchange/answers.py
@@ -293,8 +293,8 @@
             if held is not None and (public is None or public[:2] != held[:2]):
                 await asyncio.sleep(SOON_S)  # a change of it is on its way
                 continue
-            last = Order.of(held[2]) if held is not None else None
-            return await self.judge_roll(key, service, (said["target"], said["term_s"]), last)
+            asked = (said["target"], said["term_s"])
+            return await self.judge_roll(key, service, asked, self.parts.held_order(service))
         return None
 
     async def judge_roll(
@@ -348,9 +348,7 @@
 
     async def get_roll(self, service: str, said: Any, body: str) -> Answer | None:
         item = self.parts.keeper.public.get(ROLL + service)
-        if item is None:
-            return 404, fault("no roll-out of that service")
-        order = Order.of(item[2])
-        if not order.given:
+        order = Order.of(item[2]) if item is not None else None
+        if order is None or not order.given:
             return 404, fault("no roll-out of that service")
         return 200, json.dumps({"Phase": order.stage.value, "Target": order.target})
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from math import inf
 from pathlib import Path
 from typing import Any
@@ -22,11 +21,11 @@
 from pinward.common.server import ClientServer
 from pinward.directory.book import GONE_S, News, vector_of
 from pinward.exchange.answers import Answers
-from pinward.exchange.base_versions import BaseVersions
 from pinward.exchange.desk import Desk
 from pinward.exchange.keeper import Kept, Role, View
 from pinward.exchange.machine_records import MachineRecords
 from pinward.exchange.parts import PLAN, ROLL, TICK_S, Parts
+from pinward.exchange.rollouts import Rollouts
 from pinward.exchange.storage import Storage
 from pinward.exchange.vault import Vault
 from pinward.plan.boot import Boot, Watched
@@ -52,7 +51,8 @@
         self.began = now
         self.tasks = Tasks(self.fault)
         self.use(Storage(vault))
-        self.answers, self.desk = Answers(self), Desk(self, self.report)
+        self.rollouts = Rollouts(self, lambda: len(self.desk.fronts))
+        self.answers, self.desk = Answers(self), Desk(self, self.rollouts.report)
         self.dialler: Dialler | None = None
         self.sent: dict[str, tuple[str, int]] = {}  # own life and changes told to each control front
         self.wanted: dict[str, float] = {}  # when each control front was last asked for what is lacking
@@ -60,8 +60,6 @@
         self.dials: dict[str, asyncio.Task[Any]] = {}  # what keeps each link up
         self.to_save: tuple[int, bytes] | None = None
         self.saving = self.spreading = False
-        self.versions = BaseVersions()
-        self.named: tuple[int, tuple[str, ...]] = (-1, ())  # a configuration's version and its services
         self.told_at = now
         self.was_in_touch = self.was_whole = False
         self.watched, self.reread_at = Watched(), now
@@ -264,7 +262,7 @@
                 if self.keeper.primary == peer and word["n"] >= self.keeper.view.epoch:
                     self.answers.beat_heard(now, peer, word["n"], word["at"])
             case "report":
-                self.report(word["front"], word["reports"])
+                self.rollouts.report(word["front"], word["reports"])
             case _:
                 self.keeper.hear(now, peer, word)
 
@@ -296,7 +294,7 @@
             self.meet(peer)
         self.look_at_primary(now)
         self.keep_departures()
-        self.decide(now)
+        self.rollouts.decide(now)
         if now >= self.told_at + DIGEST_S:
             since, self.told_at = self.told_at, now
             self.digest(now, since)
@@ -355,51 +353,6 @@
                 del kept[peer]  # type: ignore[attr-defined]
         return near
 
-    # Roll-outs.
-
-    def report(self, front: str, reports: list[Any]) -> None:
-        """A front's counts and votes: told to the machine that leads."""
-        if self.keeper.leads(self.now()):
-            self.tally.report(self.now(), front, reports)
-        elif self.keeper.primary is not None:
-            self.send(self.keeper.primary, {"t": "report", "front": front, "reports": reports})
-
-    def decide(self, now: float) -> None:
-        if not self.keeper.leads(now):
-            return
-        self.remember_versions(now)
-        for order in self.orders():
-            if order.stage is not Stage.SERVING:
-                continue
-            stage, why = self.tally.verdict(now, order, len(self.desk.fronts))
-            held = self.keeper.kept.items.get(ROLL + order.service)
-            if stage is not None and held is not None and Order.of(held[2]) == order:
-                ring(220, service=order.service, target=order.target, asked=stage.value, why=why)
-                self.keeper.propose(now, ROLL + order.service, order.moved(stage).kept())
-
-    def remember_versions(self, now: float) -> None:
-        """Records which versions services run without an order, once all machines are known."""
-        if now < self.whole_at:
-            return
-        entries = [line.entry for line in self.book.lines.values()] if now >= self.versions.look_at else []
-        for record in self.versions.due(now, self.services(), entries, self.held_order):
-            self.keeper.propose(now, ROLL + record.service, record.kept())
-
-    def held_order(self, service: str) -> Order | None:
-        """The last order or record of a service, also one that is being written."""
-        item = self.keeper.kept.items.get(ROLL + service)
-        return Order.of(item[2]) if item is not None else None
-
-    def services(self) -> tuple[str, ...]:
-        """The services that the configuration in force names."""
-        plan = self.keeper.public.get(PLAN)
-        if plan is None:
-            return ()
-        version, body = plan[2]["version"], plan[2]["body"]
-        if self.named[0] != version:
-            self.named = (version, tuple(service["Name"] for service in json.loads(body)["Svcs"]))
-        return self.named[1]
-
     # Life.
 
     async def run(self, stop: asyncio.Event) -> None:
--- a/pinward/exchange/parts.py
+++ b/pinward/exchange/parts.py
@@ -61,6 +61,11 @@
         """The roll-outs that a view has acknowledged."""
         return [Order.of(item[2]) for key, item in self.keeper.public.items() if key.startswith(ROLL)]
 
+    def held_order(self, service: str) -> Order | None:
+        """The last order or record of a service, also one that is being written."""
+        item = self.keeper.kept.items.get(ROLL + service)
+        return Order.of(item[2]) if item is not None else None
+
     def disks_holding(self, line: Line) -> int:
         """On how many disks a departure is known to be."""
         return sum(covers(vector, line) for vector in (self.departures.vector, *self.disk_vectors.values()))
--- /dev/null
+++ b/pinward/exchange/rollouts.py
@@ -0,0 +1,59 @@
+"""Roll-outs at a control server: reports reach the primary, which ends orders and records versions."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from pinward.annunciator import ring
+from pinward.exchange.base_versions import BaseVersions
+from pinward.exchange.parts import PLAN, ROLL, Parts
+from pinward.trial.order import Stage
+
+
+class Rollouts:
+    def __init__(self, parts: Parts, proxies: Callable[[], int]) -> None:
+        """`proxies` tells how many proxies are members."""
+        self.parts, self.proxies = parts, proxies
+        self.versions = BaseVersions()
+        self.named: tuple[int, tuple[str, ...]] = (-1, ())  # a configuration's version and its services
+
+    def report(self, front: str, reports: list[Any]) -> None:
+        """A proxy's counts and votes: taken by the primary, passed on to it by others."""
+        keeper, now = self.parts.keeper, self.parts.now()
+        if keeper.leads(now):
+            self.parts.tally.report(now, front, reports)
+        elif keeper.primary is not None:
+            self.parts.send(keeper.primary, {"t": "report", "front": front, "reports": reports})
+
+    def decide(self, now: float) -> None:
+        """The primary's look at all orders under way."""
+        if not self.parts.keeper.leads(now):
+            return
+        self.record_versions(now)
+        for order in self.parts.orders():
+            if order.stage is not Stage.SERVING:
+                continue
+            stage, why = self.parts.tally.verdict(now, order, self.proxies())
+            if stage is not None and self.parts.held_order(order.service) == order:
+                ring(220, service=order.service, target=order.target, asked=stage.value, why=why)
+                self.parts.keeper.propose(now, ROLL + order.service, order.moved(stage).kept())
+
+    def record_versions(self, now: float) -> None:
+        """Records which versions services run without an order, once all machines are known."""
+        if now < self.parts.whole_at or now < self.versions.look_at:
+            return
+        entries = [line.entry for line in self.parts.book.lines.values()]
+        for record in self.versions.due(now, self.services(), entries, self.parts.held_order):
+            self.parts.keeper.propose(now, ROLL + record.service, record.kept())
+
+    def services(self) -> tuple[str, ...]:
+        """The services that the configuration in force names."""
+        plan = self.parts.keeper.public.get(PLAN)
+        if plan is None:
+            return ()
+        version, body = plan[2]["version"], plan[2]["body"]
+        if self.named[0] != version:
+            self.named = (version, tuple(service["Name"] for service in json.loads(body)["Svcs"]))
+        return self.named[1]
