The model writes two keys, and links come up at any moment: all must hold the same

Invariant: wherever nothing is under way and one leads, all hold what it holds after five undisturbed beats.

Not in it: a full disk, the session of a proxy, departures.

--- a/pinward/command/gateway_experiments.py
+++ b/pinward/command/gateway_experiments.py
@@ -328,7 +328,7 @@
     Exit 0 where the sound machine breaks nothing, or a planted error is found; else 1.
 
     :param states: the most to visit in each of its hunts
-    :param plant: an error to plant: blank, early, unconfirmed or alone
+    :param plant: an error to plant; `newest` is review/1's: items judged by the newest alone
     :param as_json: prints JSON
     """
     if plant not in PLANTS:
--- a/pinward/exchange/model.py
+++ b/pinward/exchange/model.py
@@ -3,6 +3,9 @@
 Three machines, one of whose disks may be lost, and two that may come. All within bounds: how often time goes
 on, somebody ticks and so on is told for each hunt; some begin after steps that are always the same, so that
 a change of the voters is near. Errors can be planted, to see that they would be found.
+
+In whatever state nothing is under way any more and one leads, all hold the same after a few of its beats:
+with two keys and links that come up at any moment one item may be kept and another missed.
 """
 
 from __future__ import annotations
@@ -13,16 +16,17 @@
 from functools import partial
 from typing import Any
 
-from pinward.exchange.committed import Committed
+from pinward.exchange.committed import Committed, stamp_of
 from pinward.exchange.keeper import Keeper, Kept, Role, View
 from pinward.exchange.membership import Membership
-from pinward.exchange.view import PATIENCE_S, majority
+from pinward.exchange.view import BEAT_S, PATIENCE_S, Word, majority
 from pinward.explorer import Explorer
 
 STEP_S = 0.5  # s of one step of time: a lease lasts one and not two, as does a voter's word
 NAMES = ("c0", "c1", "c2")
 NEW = ("d0", "d1")  # machines that may come, empty
-KEY = "plan"
+KEYS = ("plan", "roll:a")
+BEATS = 5  # of a primary, undisturbed, within which all are to hold what it holds
 TAKING = ("prepare", "promise", "transfer", "transferred", "accept", "accepted")  # words of a takeover
 RANKS = {Role.PREPARING: 2, Role.TRANSFERRING: 4, Role.ACCEPTING: 6, Role.PRIMARY: 7}  # how near to leading
 
@@ -109,9 +113,23 @@
         self.released = True
 
 
+class Newest(ModelKeeper):
+    """Planted: what a peer lacks is judged by the newest item that it holds."""
+
+    def compare(self, now: float, primary: str, digest: str | None) -> None:
+        super().compare(now, primary, None)
+
+    def catch_up(self, peer: str, word: Word) -> None:
+        last = stamp_of(word["pub"])
+        items = {key: item for key, item in self.public.items() if stamp_of(item) > last}
+        if items:
+            self.send(peer, t="commit", n=self.epoch, items=items)
+
+
 KINDS = {
     "early": Early, "unconfirmed": Unconfirmed, "alone": Alone,
     "untaught": Untaught, "formerless": Formerless, "remover": Remover, "hasty": Hasty,
+    "newest": Newest,
 }  # fmt: skip
 PLANTS = ("none", "blank", *KINDS)
 LOSES = ("blank", "early", "unconfirmed", "alone")  # planted errors that must be found by what they lose
@@ -130,6 +148,8 @@
     joins: int = 0
     ends: int = 0  # told
     removals: int = 0  # for good, without a word
+    keys: int = 1  # that are written
+    links: bool = False  # a restart breaks links, which come up at any moment; all must then hold the same
 
 
 @dataclass
@@ -139,9 +159,10 @@
     keepers: dict[str, Keeper] = field(default_factory=dict)
     disks: dict[str, bytes] = field(default_factory=dict)
     ways: dict[tuple[str, str], list[dict[str, Any]]] = field(default_factory=dict)
+    down: set[tuple[str, str]] = field(default_factory=set)  # links that have yet to come up
     version: int = 0
-    writes: dict[tuple[str, int], int] = field(default_factory=dict)
-    acked: int = 0
+    writes: dict[tuple[str, int], tuple[str, int]] = field(default_factory=dict)  # keys and versions
+    acked: dict[str, int] = field(default_factory=dict)  # the highest version acknowledged of each key
     acting: dict[int, str] = field(default_factory=dict)  # by epoch
     views: dict[int, View] = field(default_factory=dict)  # as begun, by epoch
     ends: set[str] = field(default_factory=set)  # told to
@@ -162,7 +183,8 @@
         self.flush(world)
         self.put(world, NAMES[0])
         self.flush(world)
-        world.left = Bounds(**vars(Bounds(9, 9, 9, 0, 0, 9, 2, 2, 2)))
+        bounds = self.bounds
+        world.left = Bounds(9, 9, 9, 9 * bounds.links, 0, 9, 2, 2, 2, bounds.keys, bounds.links)
         for name in begin:
             if name == "all arrives":
                 self.flush(world)
@@ -191,15 +213,15 @@
             tickets = []
             for order in out:
                 match order:
-                    case ("send", peer, word) if peer in world.keepers:
+                    case ("send", peer, word) if peer in world.keepers and (name, peer) not in world.down:
                         word = {k: v for k, v in pickle.loads(pickle.dumps(word)).items()}
                         world.ways.setdefault((name, peer), []).append(word)
                     case ("save", ticket, kept):
                         tickets.append((ticket, pickle.dumps(kept)))
                     case ("done", number, held):
-                        version = world.writes.pop((name, number), None)
-                        if version is not None and held:
-                            world.acked = max(world.acked, version)
+                        key, version = world.writes.pop((name, number), ("", 0))
+                        if key and held:
+                            world.acked[key] = max(world.acked.get(key, 0), version)
             if tickets and loses:
                 self.restart_at(world, name)
                 return done
@@ -209,6 +231,16 @@
         self.check(world)
         return done
 
+    def judged(self, step: Callable[[World], Any]) -> Callable[[World], Any]:
+        """A step after which all must hold the same, where nothing is under way."""
+
+        def whole(world: World) -> None:
+            step(world)
+            if not self.broken:
+                self.converge(world)
+
+        return whole
+
     def check(self, world: World) -> None:
         lead = [name for name, keeper in world.keepers.items() if keeper.leads(world.now)]
         if len(lead) > 1 and self.plant not in LOSES:
@@ -221,11 +253,12 @@
                 self.broken = f"{name} and {other} act in epoch {keeper.epoch}"
             if keeper.epoch not in world.views:
                 self.judge(world, keeper.view)
-            shown = keeper.public.get(KEY)
-            version = shown[2] if shown else 0
-            if version < world.acked:
-                self.broken = f"{name} answers {version}, {world.acked} was acknowledged"
-            world.acked = max(world.acked, version)  # what was once shown does not go back
+            for key in KEYS:
+                shown, acked = keeper.public.get(key), world.acked.get(key, 0)
+                version = shown[2] if shown else 0
+                if version < acked:
+                    self.broken = f"{name} answers {version} of {key}, {acked} was acknowledged"
+                world.acked[key] = max(acked, version)  # what was once shown does not go back
 
     def judge(self, world: World, view: View) -> None:
         """A view as it begins: copies and newcomers hold on disk what was acknowledged."""
@@ -234,7 +267,7 @@
         came = set(view.voters) - set(last.voters)
         for name in {*view.copies, *came} & world.disks.keys():
             kept: Kept = pickle.loads(world.disks[name])
-            lacks = kept.items.get(KEY, [0, 0, 0])[2] < world.acked
+            lacks = any(kept.items.get(key, [0, 0, 0])[2] < acked for key, acked in world.acked.items())
             if (lacks and not kept.blank) or (name in came and kept.blank):
                 self.broken = f"{name} counts in epoch {view.epoch}, and lacks what was acknowledged"
 
@@ -277,9 +310,34 @@
 
     def restart_at(self, world: World, name: str) -> None:
         world.writes = {key: v for key, v in world.writes.items() if key[0] != name}
+        if world.left.links:
+            ways = {way for other in world.keepers if other != name for way in ((name, other), (other, name))}
+            world.down |= ways
+            world.ways = {way: words for way, words in world.ways.items() if way not in ways}
         self.start(world, name, pickle.loads(world.disks[name]))
         self.check(world)
 
+    def come_up(self, world: World, way: tuple[str, str]) -> None:
+        """A link stands: its host tells the keeper."""
+        world.down.discard(way)
+        self.do(world, way[0], lambda k: k.met(way[1]))
+
+    def converge(self, world: World) -> None:
+        """Where nothing is under way and one leads, all hold what it holds after a few of its beats."""
+        lead = next((name for name, keeper in world.keepers.items() if keeper.leads(world.now)), None)
+        if lead is None or world.down or any(world.ways.values()) or world.keepers[lead].open:
+            return
+        calm = self.fresh(self.held(world))
+        for _ in range(BEATS):
+            calm.now += BEAT_S
+            self.do(calm, lead, lambda k: k.tick(calm.now))
+            self.flush(calm)
+        public = calm.keepers[lead].public
+        for name, keeper in calm.keepers.items():
+            lacks = [key for key, item in public.items() if keeper.public.get(key) != item]
+            if lacks and calm.keepers[lead].leads(calm.now):
+                self.broken = f"{name} lacks {' and '.join(lacks)}, which {lead} holds"
+
     def restart(self, world: World, name: str) -> None:
         world.left.restarts -= 1
         self.restart_at(world, name)
@@ -294,15 +352,15 @@
         world.left.ticks -= 1
         self.do(world, name, lambda k: k.tick(world.now))
 
-    def put(self, world: World, name: str) -> None:
+    def put(self, world: World, name: str, key: str = KEYS[0]) -> None:
         world.left.puts -= 1
         world.version += 1
         version = world.version
 
         def propose(keeper: Keeper) -> None:
-            number = keeper.propose(world.now, KEY, version)
+            number = keeper.propose(world.now, key, version)
             if number is not None:
-                world.writes[(name, number)] = version
+                world.writes[(name, number)] = (key, version)
 
         self.do(world, name, propose)
 
@@ -328,6 +386,8 @@
                 found.append((f"{name} ticks", partial(self.tick, name=name)))
             if left.puts and keeper.leads(world.now):
                 found.append((f"{name} takes a put", partial(self.put, name=name)))
+                for key in KEYS[1 : left.keys]:
+                    found.append((f"{name} takes a put of {key}", partial(self.put, name=name, key=key)))
             if left.restarts:
                 found.append((f"{name} restarts", partial(self.restart, name=name)))
             if name in world.ends and keeper.released:
@@ -338,12 +398,17 @@
                 found.append((f"{name} is gone for good", partial(self.remove, name=name)))
             if left.wipes:
                 found.append((f"{name} loses its disk", partial(self.wipe, name=name)))
+        found += [
+            (f"{a}'s link to {b} comes up", partial(self.come_up, way=(a, b)))
+            for a, b in sorted(world.down)
+            if a in world.keepers and b in world.keepers
+        ]
         free = [name for name in NEW if name not in world.keepers and name not in world.ends]
         if left.joins and free:
             found.append((f"{free[0]} joins", partial(self.join, name=free[0])))
         if left.steps_of_time:
             found.append(("time goes on", self.pass_time))
-        return found
+        return [(name, self.judged(step)) for name, step in found] if left.links else found
 
     # States.
 
@@ -366,8 +431,9 @@
         ways = tuple(sorted((way, repr(words)) for way, words in world.ways.items() if words))
         disks = tuple(hash(disk) for _, disk in sorted(world.disks.items()))
         begun = tuple(sorted(world.acting.items())), max(world.views, default=0), tuple(sorted(world.ends))
-        rest = world.now, world.version, world.acked, begun
-        return hash((left, keepers, ways, disks, rest, tuple(sorted(world.writes.items()))))
+        rest = world.now, world.version, tuple(sorted(world.acked.items())), begun
+        down = tuple(sorted(world.down))
+        return hash((left, keepers, ways, disks, rest, down, tuple(sorted(world.writes.items()))))
 
     def interest(self, world: World) -> int:
         roles = sum(
@@ -377,7 +443,8 @@
         steps = sum(word["t"] in TAKING for words in world.ways.values() for word in words)
         leads = sum(k.leads(world.now) for k in world.keepers.values())
         used = self.bounds.wipes - world.left.wipes
-        near = 6 * (len(world.views) + len(world.acting) + world.acked) + 3 * leads + 4 * used
+        seen = len(world.views) + len(world.acting) + sum(world.acked.values())
+        near = 6 * seen + 3 * leads + 4 * used
         return roles + steps + near + int(2 * world.now)
 
     def held(self, world: World) -> bytes:
@@ -410,6 +477,11 @@
 STANDS = (
     "c1 ticks", "c1 to c2: pre_vote", "c2 to c1: pre_granted", "c1 to c2: prepare", "c2 to c1: promise",
 )  # fmt: skip
+# A copy restarts beside a write of another key, so that the primary asks for a view without it.
+BESIDE = (
+    "c0 takes a put of roll:a", "c1 restarts", "time goes on", "c0 ticks", "c0 to c2: beat",
+    "c2 to c0: heard", "time goes on", "c0 ticks",
+)  # fmt: skip
 HUNTS: dict[str, tuple[Bounds, tuple[str, ...]]] = {  # bounds that hold one promise's faults; first steps
     "blank": (Bounds(steps_of_time=4, ticks=3, puts=0, restarts=0, wipes=1, losses=0), ()),
     "early": (Bounds(steps_of_time=3, ticks=2, puts=1, restarts=0, wipes=0, losses=1), ()),
@@ -441,6 +513,12 @@
     "cut amid": (
         Bounds(steps_of_time=3, ticks=3, puts=1, restarts=1, wipes=0, losses=1), (*TAUGHT, *LEAVES, *HALF),
     ),
+    "newest": (
+        Bounds(steps_of_time=1, ticks=2, puts=0, restarts=0, wipes=0, losses=0, keys=2, links=True), BESIDE,
+    ),
+    "two keys": (
+        Bounds(steps_of_time=2, ticks=3, puts=2, restarts=1, wipes=1, losses=1, keys=2, links=True), BESIDE,
+    ),
     "joins": (
         Bounds(steps_of_time=2, ticks=3, puts=1, restarts=0, wipes=0, losses=1, joins=2, removals=1), (),
     ),
--- a/tests/test_gateway_convergence.py
+++ b/tests/test_gateway_convergence.py
@@ -14,6 +14,7 @@
 from pinward.exchange.committed import NO_STAMP, Committed, stamp_of
 from pinward.exchange.host import Exchange
 from pinward.exchange.keeper import Keeper, Kept, View
+from pinward.exchange.model import HUNTS, Model
 from pinward.exchange.vault import Vault
 from pinward.exchange.view import Role
 from pinward.plan.boot import Boot, boot_of
@@ -27,6 +28,7 @@
 
 LOOK_S = 0.002  # s between looks for a moment
 READY_S = START_S + 1.5  # s within which a proxy that starts is ready: it tries two control servers at most
+MODEL_STATES = 2_000  # of a hunt; the whole one takes minutes
 PLANTED_SEEDS = range(1, 20, 2)  # those of single moments, within which each planted error is found
 ROLL_OUT = {"Svc": "reads", "Target": "v2", "Over": "12s"}
 
@@ -114,6 +116,13 @@
         world.converges()
         self.assertThat(world.broken, Equals([]))
 
+    def test_in_each_explored_order_of_two_keys_and_links_all_hold_the_same(self) -> None:
+        """The model of review/1: a restart, a write of another key, links that come up at any moment."""
+        for hunt in ("newest", "two keys"):
+            bounds, begin = HUNTS[hunt]
+            model = Model(bounds)
+            self.assertThat(model.explore(model.first(begin), MODEL_STATES)["broken"], Is(None), hunt)
+
     def test_a_digest_that_is_none_stops_nobody(self) -> None:
         for odd in ("", "zz", 7, [], {"a": 1}):
 
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -404,7 +404,7 @@
     def test_each_planted_error_of_a_change_is_found(self) -> None:
         said = {
             "untaught": "counts in epoch 3", "formerless": "act in epoch", "remover": "act at one time",
-            "hasty": "is let go with a copy",
+            "hasty": "is let go with a copy", "newest": "c1 lacks plan",
         }  # fmt: skip
         for plant, what in said.items():
             self.assertThat(explore(30_000, plant)["broken"], Contains(what), plant)
