`pinward gateway acknowledged`: real processes are killed right behind each 200

No test killed real processes at the moment of an acknowledgement, nor played a loss of power on real files.

Change: a soak on loopback; in each round one to three things are acknowledged at the same time, all control servers and a proxy are killed within 0.03 s, half of the rounds take what was not synced (os.fsync is watched), some a disk; 5 s after the start each control server is asked and each proxy is sent requests. Judged from answers and arrivals alone.

--- a/pinward/command/gateway_experiments.py
+++ b/pinward/command/gateway_experiments.py
@@ -275,7 +275,27 @@
     :param as_json: prints JSON
     """
     found = rig("restarts_soak")
-    runs = [found.played(seed, seconds, proxies) for seed in range(first, first + seeds)]
+    return soaked([found.played(seed, seconds, proxies) for seed in range(first, first + seeds)], as_json)
+
+
+def acknowledged(*, seeds: int = 3, first: int = 1, rounds: int = 4, as_json: bool = False) -> int:
+    """Kills all control servers right behind what they answered 200, real processes on loopback.
+
+    Some rounds lose all power (what was not synced is gone), some a disk. Then every control server and proxy
+    is asked. Exit 1 where something acknowledged is not treated so. About 12 s a round.
+
+    :param seeds: how many runs, one after another
+    :param first: the first seed
+    :param rounds: kills of each run
+    :param as_json: prints JSON
+    """
+    found = rig("acknowledged_soak")
+    runs = [found.played(seed, rounds) for seed in range(first, first + seeds)]
+    return soaked(runs, as_json)
+
+
+def soaked(runs: list[Any], as_json: bool) -> int:
+    """Prints a row a run, and the faults; 1 where there are some."""
     lines([run.figures() for run in runs], as_json)
     faults = [f"seed {run.seed}: {fault}" for run in runs for fault in run.faults]
     print("\n".join(faults), end="\n" if faults else "", file=sys.stderr)
@@ -399,6 +419,6 @@
 
 
 EXPERIMENTS = (
-    drill, operators, news, trials, load, model, day, draw, hunt, changes, converge, connections, departures,
-    restarts, scale,
+    drill, operators, news, trials, load, model, day, draw, hunt, changes, converge, acknowledged,
+    connections, departures, restarts, scale,
 )  # fmt: skip
