Soaks of real processes ask all servers and proxies at their end whether they agree

Change: standin/agreement.py asks control servers and proxies over sockets; `acknowledged` uses it each round, `restarts` 5 s after its load: one configuration everywhere, no older than the acknowledged one, its routes served, its dropped route refused.

Now it starts what ends by itself, counts ends by SIGHUP and takes any other end as a fault.

--- a/standin/acknowledged_soak.py
+++ b/standin/acknowledged_soak.py
@@ -18,14 +18,13 @@
 from random import Random
 from typing import Any
 
-import aiohttp
 from aiohttp import web
 
-from standin.gateway_rig import CTL, EDGE, Machine, Rig, plan
+from standin.agreement import QUIET_S, Agreement, Asked
+from standin.gateway_rig import EDGE, Machine, Rig, plan
 from standin.power_loss import lose_disk, lose_power
 
-LIVE_S, APPLY_S, DRAIN_S = 3.0, 2.0, 2.0  # s, the users' bounds, as the settings have them by default
-QUIET_S = LIVE_S + APPLY_S  # s after the last start until all must treat all alike
+DRAIN_S = 2.0  # s, the users' bound, as the settings have it by default
 KNOWN_S = 4.0  # s after a start until a control server knows all machines
 JOINED_S = (0.5, 1.5)  # s from a machine's join, its first beat within half a second, to what is acknowledged
 TRAFFIC_S = 0.02  # s between two requests of the client that each proxy has all the time
@@ -35,7 +34,6 @@
 LATE_BEAT_S = 1.0  # s after the start at which a first beat comes that a `DELETE` has overtaken
 ACTS_MOST = 3  # at the same time
 POWER, DISK = 0.5, 0.4  # shares of the rounds in which all lose their power, one its disk
-SENDS = 24  # requests on each route at each proxy
 MACHINES_COUNT = 5  # that a round begins with
 START_S = 30.0  # s for the gateway to serve its first request
 ORDERED = "kiosk"  # the service with a roll-out; the others' machines come and go
@@ -83,7 +81,6 @@
     version: int = 1
     ordered: bool = False
     number: int = 0  # of the machine that came last
-    tried: int = 0
     late: RecordingMachine | None = None  # whose first beat comes behind its `DELETE`
 
     def __post_init__(self) -> None:
@@ -215,20 +212,15 @@
         self.faults.append(f"version {self.version}: {what}")
 
     async def judge(self, counted_from: float) -> None:
-        for core in self.rig.cores:
-            status, text = await self.ask(core, CTL, "GET", "/cfg")
-            if status != 200 or int(json.loads(text)["Ver"], 16) != self.version:
-                self.fault(f"{core} answers /cfg with {status} {text[:20]}")
-            status, text = await self.ask(core, CTL, "GET", f"/rolls/{ORDERED}")
-            if self.ordered and (status != 200 or json.loads(text)["Target"] != TARGET):
-                self.fault(f"{core} answers /rolls with {status} {text[:60]}")
-        for front in self.rig.fronts:
-            for verb, path in (("GET", "/toy/x"), ("POST", "/book/x"), ("GET", f"/v{self.version}/x")):
-                asked = (self.ask(front, EDGE, verb, path) for _ in range(SENDS))
-                statuses = Counter(status for status, _ in await asyncio.gather(*asked))
-                self.counts["requests"] += SENDS
-                if statuses != {200: SENDS}:
-                    self.fault(f"{front} answers {verb} {path} with {dict(statuses)}")
+        agreement = self.agreement
+        await agreement.configuration(self.version, self.version)
+        if self.ordered:
+            await agreement.order(ORDERED, TARGET)
+        routes = [Asked("GET", "/toy/x"), Asked("POST", "/book/x"), Asked("GET", f"/v{self.version}/x")]
+        self.counts["requests"] += await agreement.proxies(routes)
+        for fault in agreement.faults:
+            self.fault(fault)
+        agreement.faults.clear()
         for machine, at in self.departed.values():
             late = sum(reached > max(counted_from, at + DRAIN_S) for reached in machine.reached)
             if late:
@@ -237,16 +229,7 @@
     async def traffic(self, front: str) -> None:
         """Requests without a pause: a machine that answers is kept in use, so that no error mends itself."""
         while True:
-            await asyncio.gather(self.ask(front, EDGE, "POST", "/book/x"), asyncio.sleep(TRAFFIC_S))
-
-    async def ask(self, ip: str, port: int, verb: str, path: str) -> tuple[int, str]:
-        self.tried += 1
-        headers = {"Host": "toy.example", "X-Try-Id": f"{self.seed}-{self.tried}", "X-Deadline-Ms": "2000"}
-        try:
-            async with self.http.request(verb, f"http://{ip}:{port}{path}", headers=headers) as answer:
-                return answer.status, await answer.text()
-        except (aiohttp.ClientError, OSError, TimeoutError) as why:
-            return 0, type(why).__name__
+            await asyncio.gather(self.agreement.ask(front, EDGE, "POST", "/book/x"), asyncio.sleep(TRAFFIC_S))
 
     # The run.
 
@@ -256,7 +239,7 @@
             while (await self.rig.call(self.http, "PUT", "/cfg", self.plan(1)))[0] != 200:
                 await asyncio.sleep(0.1)
             for front in self.rig.fronts:
-                while (await self.ask(front, EDGE, "GET", "/toy/x"))[0] != 200:
+                while (await self.agreement.ask(front, EDGE, "GET", "/toy/x"))[0] != 200:
                     await asyncio.sleep(0.1)
 
     async def run(self) -> None:
@@ -265,6 +248,7 @@
         for build in ("v1", "v1", TARGET):
             await self.machine(build, ORDERED)
         async with self.rig.running(self.processes, self.machines) as self.http:
+            self.agreement = Agreement(self.rig, self.http, str(self.seed))
             await self.serving()
             clients = [asyncio.ensure_future(self.traffic(front)) for front in self.rig.fronts]
             for _ in range(self.rounds):
--- a/standin/gateway_rig.py
+++ b/standin/gateway_rig.py
@@ -40,11 +40,16 @@
     }
 
 
+def has_more(version: int) -> bool:
+    """True where a version of the series has the route that comes and goes, `/more/`."""
+    return bool(version % 2)
+
+
 def changed_plan(version: int) -> dict[str, Any]:
     """One of a series of configurations: another idle time, and a route that comes and goes."""
     sheet = plan(version)
     sheet["Caps"]["Idle"] = IDLES[version % len(IDLES)]
-    if version % 2:
+    if has_more(version):
         sheet["Hosts"][0]["Vroutes"].append({**sheet["Hosts"][0]["Vroutes"][0], "Pfx": "/more/"})
     return sheet
 
--- a/standin/restarts_soak.py
+++ b/standin/restarts_soak.py
@@ -19,8 +19,9 @@
 import aiohttp
 
 from pinward.switchboard.leaving import HEARD_S
+from standin.agreement import QUIET_S, Agreement, Asked
 from standin.departures import RecordingMachine
-from standin.gateway_rig import EDGE, MACHINES, SOCK, Machine, Rig, changed_plan
+from standin.gateway_rig import EDGE, MACHINES, SOCK, Machine, Rig, changed_plan, has_more
 from standin.leaving import ONCE_MARK, Address, BusyClient, Outcome, Records
 
 MACHINES_COUNT = 12
@@ -35,6 +36,7 @@
 CORE_GAP_S = (2.0, 4.0)  # s between restarts of control servers
 REST_GAP_S = (0.0, 1.0)  # s between two series
 TWICE = 0.2  # share of the processes told to end that are told so again
+PLATFORM_S = 0.1  # s between the platform's looks for processes that ended
 LATE_ANSWERS_S = 5.0  # s that clients have for their last answers
 
 
@@ -49,7 +51,10 @@
     records: Records = field(default_factory=Records)
     signals: Counter[str] = field(default_factory=Counter)
     changes: int = 0
+    acknowledged: int = 0  # the highest version
+    disagreements: list[str] = field(default_factory=list)  # of control servers and proxies at the end
     not_ended: list[str] = field(default_factory=list)  # processes that outlasted their grace
+    ended: list[str] = field(default_factory=list)  # processes that ended by themselves
     end_at: float = 0.0
 
     def __post_init__(self) -> None:
@@ -111,6 +116,22 @@
             await self.pause(CORE_GAP_S)
             await self.restart(self.chance.choice(self.rig.cores))
 
+    async def start_ended(self) -> None:
+        """Starts again whatever ends by itself, as the platform does.
+
+        SIGHUP in the first moments of the interpreter ends a process: that is counted. All else is a fault.
+        """
+        while True:
+            await asyncio.sleep(PLATFORM_S)
+            for ip, process in self.processes.items():
+                if process.alive or ip in self.leaving or process.child is None:
+                    continue
+                if process.child.returncode == -signal.SIGHUP:
+                    self.signals["ended by SIGHUP"] += 1
+                else:
+                    self.ended.append(f"{ip}: ended by itself with {process.child.returncode}")
+                process.start()
+
     async def reload(self) -> None:
         """SIGHUP at any moment of a process's life."""
         while not self.over:
@@ -126,7 +147,10 @@
     async def change(self, http: aiohttp.ClientSession) -> None:
         """Puts the next configuration."""
         self.changes += 1
-        await self.rig.call(http, "PUT", "/cfg", changed_plan(self.changes))
+        version = self.changes
+        status, _ = await self.rig.call(http, "PUT", "/cfg", changed_plan(version))
+        if status == 200:
+            self.acknowledged = max(self.acknowledged, version)
 
     # Clients.
 
@@ -160,7 +184,11 @@
             await machine.start(MACHINES.format(number), SOCK)
         async with self.rig.running(self.processes, self.beats) as http:
             await self.serving(http)
+            platform = asyncio.ensure_future(self.start_ended())
             await self.load(http)
+            await asyncio.sleep(QUIET_S)
+            await self.agree(http)
+            platform.cancel()
         for machine in self.machines:
             machine.server.close()
 
@@ -181,6 +209,14 @@
 
     # The judgement.
 
+    async def agree(self, http: aiohttp.ClientSession) -> None:
+        """All control servers and proxies hold the configuration that was acknowledged last."""
+        agreement = Agreement(self.rig, http, "agree")
+        version = await agreement.configuration(self.acknowledged, self.changes)
+        more = 200 if has_more(version) else 404
+        await agreement.proxies([Asked("GET", "/toy/x"), Asked("GET", "/more/x", more)])
+        self.disagreements = agreement.faults
+
     @property
     def faults(self) -> list[str]:
         """All that no planned work excuses, a line each."""
@@ -195,7 +231,8 @@
                 found.append(f"{request.id}: run {ran[request.id]} times")
             if request.outcome is Outcome.REFUSED and ran[request.id]:
                 found.append(f"{request.id}: refused, and run")
-        return found + [f"{ip}: did not end within its grace" for ip in self.not_ended]
+        found += [f"{ip}: did not end within its grace" for ip in self.not_ended]
+        return found + self.ended + self.disagreements
 
     def figures(self) -> dict[str, object]:
         """The run in one row."""
