--- a/pinward/command/gateway_experiments.py
+++ b/pinward/command/gateway_experiments.py
@@ -253,11 +253,7 @@
     :param as_json: prints JSON
     """
     found = rig("departures_soak")
-    runs = [found.played(seed, seconds) for seed in range(first, first + seeds)]
-    lines([run.figures() for run in runs], as_json)
-    faults = [fault for run in runs for fault in run.faults]
-    print("\n".join(faults), end="\n" if faults else "", file=sys.stderr)
-    return int(bool(faults))
+    return soaked([found.played(seed, seconds) for seed in range(first, first + seeds)], as_json)
 
 
 def restarts(
@@ -290,8 +286,7 @@
     :param as_json: prints JSON
     """
     found = rig("acknowledged_soak")
-    runs = [found.played(seed, rounds) for seed in range(first, first + seeds)]
-    return soaked(runs, as_json)
+    return soaked([found.played(seed, rounds) for seed in range(first, first + seeds)], as_json)
 
 
 def soaked(runs: list[Any], as_json: bool) -> int:
