The soaks' bounds count from when processes listen, and a process that ends is a fault

Traced by the logs: the last process listened 2.2 s after the first, a view was chosen 1.5 s after the last of them, and the soak had counted its 5 s from the moment at which all were told to start.

--- a/standin/acknowledged_soak.py
+++ b/standin/acknowledged_soak.py
@@ -176,6 +176,7 @@
         await asyncio.gather(*(act() for act in some))
         await asyncio.sleep(self.chance.uniform(*KILL_S))
         await self.kill_all()
+        await self.agreement.started(self.processes)
         back = self.now()
         await asyncio.sleep(LATE_BEAT_S)
         if self.late is not None:
@@ -211,7 +212,15 @@
     def fault(self, what: str) -> None:
         self.faults.append(f"version {self.version}: {what}")
 
+    def judge_processes(self) -> None:
+        """None has ended by itself since it was started."""
+        for ip, process in self.processes.items():
+            if not process.alive and process.child is not None:
+                last = process.output.read_text(errors="replace").splitlines()[-1:]
+                self.fault(f"{ip} ended by itself with {process.child.returncode}: {last}")
+
     async def judge(self, counted_from: float) -> None:
+        self.judge_processes()
         agreement = self.agreement
         await agreement.configuration(self.version, self.version)
         if self.ordered:
--- a/standin/agreement.py
+++ b/standin/agreement.py
@@ -1,6 +1,6 @@
 """Do all control servers and proxies treat alike what was acknowledged? Asked from outside, on loopback.
 
-To be called once nothing has gone wrong for `QUIET_S`. Reads answers alone.
+To be called once nothing has gone wrong for `QUIET_S`, all processes listening. Reads answers alone.
 """
 
 from __future__ import annotations
@@ -8,14 +8,17 @@
 import asyncio
 import json
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import aiohttp
 
-from standin.gateway_rig import CTL, EDGE, Rig
+from standin.gateway_rig import CTL, EDGE, UP, Rig
 
 LIVE_S, APPLY_S = 3.0, 2.0  # s, the users' bounds, as the settings have them by default
 QUIET_S = LIVE_S + APPLY_S  # s without trouble until all must treat all alike
+START_S = 30.0  # s for a process to listen: beside load its start waits for a processor
+LOOK_S = 0.02  # s between looks whether one listens
 SENDS = 24  # requests on each route at each proxy
 
 
@@ -49,6 +52,17 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as why:
             return 0, type(why).__name__
 
+    async def started(self, some: Iterable[str]) -> None:
+        """Waits until these processes listen, whatever they answer: bounds count from there."""
+        until = asyncio.get_running_loop().time() + START_S
+        for ip in some:
+            port, path = (CTL, "/cfg") if ip in self.rig.cores else (UP, "/up")
+            while not (await self.ask(ip, port, "GET", path))[0]:
+                if asyncio.get_running_loop().time() > until:
+                    self.faults.append(f"{ip} does not listen within {START_S:.0f} s")
+                    return
+                await asyncio.sleep(LOOK_S)
+
     async def configuration(self, acknowledged: int, sent: int) -> int:
         """Every control server answers one version, no older than what was acknowledged; that version."""
         found = Counter[int]()
--- a/standin/restarts_soak.py
+++ b/standin/restarts_soak.py
@@ -186,7 +186,6 @@
             await self.serving(http)
             platform = asyncio.ensure_future(self.start_ended())
             await self.load(http)
-            await asyncio.sleep(QUIET_S)
             await self.agree(http)
             platform.cancel()
         for machine in self.machines:
@@ -212,6 +211,8 @@
     async def agree(self, http: aiohttp.ClientSession) -> None:
         """All control servers and proxies hold the configuration that was acknowledged last."""
         agreement = Agreement(self.rig, http, "agree")
+        await agreement.started(self.processes)
+        await asyncio.sleep(QUIET_S)
         version = await agreement.configuration(self.acknowledged, self.changes)
         more = 200 if has_more(version) else 404
         await agreement.proxies([Asked("GET", "/toy/x"), Asked("GET", "/more/x", more)])
