--- a/review/4/case.py
+++ b/review/4/case.py
@@ -21,7 +21,7 @@
 
 
 async def read_back(gateway: Gateway, record: Record) -> int:
-    """The newest version that a read answers, asked at each control server for `READ_S`; 0 where none does."""
+    """The newest version that reads answer, at each control server for `READ_S`; 0 where none does."""
     until, newest = time.monotonic() + READ_S, 0
     while time.monotonic() < until:
         for core in gateway.cores:
