Survive is kept in zones and regions, or refused with a reason: one policy, asked by all

Cause: the settings' reader dropped Azs and RegsLost; Nodes 0 then meant one voter and one copy, and no control server knew where another one stands. Change: plan/fault_tolerance.py says which voters and copies bear a loss of machines, zones or regions; elections, copies, departures and changes of voters ask it. Servers tell each other zone and region as a link comes up and keep them on disk. What no servers can keep is refused at the start with the key; what those at hand cannot keep gets 503 with the reason, and event 215. Tests changed: planted errors that answer with fewer copies now also plant that writes are not refused then, since a primary refuses them by itself; the late copy's test picks one whose disk is idle, as a save under way before the delay was no late one; boot.lost_most became boot.tolerance.

--- a/pinward/exchange/answers.py
+++ b/pinward/exchange/answers.py
@@ -202,6 +202,9 @@
             self.parts.send(peer, reply)
 
     async def write(self, key: str, value: Any) -> Answer | None:
+        intolerance = self.parts.keeper.intolerance()
+        if intolerance:
+            return 503, fault(f"nothing was done: {intolerance}")
         number = self.parts.keeper.propose(self.parts.now(), key, value)
         if number is None:
             return None
@@ -246,12 +249,11 @@
         return True
 
     async def durable(self, iid: str) -> bool:
-        """True once as many disks hold that a machine leaves as may be lost, and one more."""
+        """True once some disk that holds that a machine leaves outlasts what may be lost."""
         until = self.until(TOLD_S)
         while True:
             held, line = self.parts.held, self.parts.book.lines.get(iid)
-            others = min(self.parts.boot.lost_most, len(self.parts.keeper.view.voters) - 1)
-            if line is not None and self.parts.disks_holding(line) > others:
+            if line is not None and self.parts.outlasts_losses(line):
                 return True
             left = until - self.parts.now()
             if left <= 0:
--- a/pinward/exchange/core.py
+++ b/pinward/exchange/core.py
@@ -23,10 +23,14 @@
     newest,
 )
 
+from pinward.plan.fault_tolerance import FaultTolerance
+
 
 class Core:
-    def __init__(self, own: str, kept: Kept, lost_most: int, seed: int | str, now: float) -> None:
-        self.own, self.kept, self.lost_most, self.chance = own, kept, lost_most, Random(seed)
+    def __init__(
+        self, own: str, kept: Kept, tolerance: FaultTolerance, seed: int | str, now: float
+    ) -> None:
+        self.own, self.kept, self.tolerance, self.chance = own, kept, tolerance, Random(seed)
         self.role, self.epoch = Role.FOLLOWING, 0
         self.peers: set[str] = kept.view.members() - {own}
         self.seen: dict[str, float] = {}  # when those that are no voters were last heard of
@@ -41,7 +45,7 @@
         self.asked_disk: dict[int, float] = {}  # tickets not yet saved, and since when
         self.waits: list[tuple[int, str, Word]] = []  # ticket, peer, word
         self.nonce = self.chance.getrandbits(48) + 1  # of this life: who is readmitted is this one
-        self.membership = Membership(own, lost_most)
+        self.membership = Membership(own, tolerance)
         self.change: Change | None = None  # of the voters, to come with the view that is asked for
         self.led_epoch = -1  # the last epoch that this process led: its view is known to be chosen
         self.leave_at: float | None = None  # when it was told to end
@@ -53,6 +57,7 @@
         self.committed = Committed()  # what views have acknowledged, as far as it was told here
         self.differs_since: float | None = now  # since when the primary's digest is another; None: it is not
         self.differs_told = False
+        self.told_intolerance = ""  # why writes are refused, as an event last told it
         self.ask_items_at = -inf  # when the primary may be told again what is held here
         self.out: list[tuple[Any, ...]] = []
 
--- a/pinward/exchange/election.py
+++ b/pinward/exchange/election.py
@@ -24,13 +24,17 @@
     Stamp,
     View,
     Word,
+    localities_of,
     newest,
 )
+from pinward.plan.fault_tolerance import FaultTolerance
 
 
 class Election(Replication):
-    def __init__(self, own: str, kept: Kept, lost_most: int, seed: int | str, now: float) -> None:
-        super().__init__(own, kept, lost_most, seed, now)
+    def __init__(
+        self, own: str, kept: Kept, tolerance: FaultTolerance, seed: int | str, now: float
+    ) -> None:
+        super().__init__(own, kept, tolerance, seed, now)
         self.granted: set[str] = set()  # who would help
         self.promises: dict[str, tuple[View, Stamp]] = {}
         self.blanks: dict[str, int] = {}  # whose disk is lost, as heard, and in which life
@@ -176,7 +180,8 @@
         if self.gather_at == inf:
             self.gather_at = now + GATHER_S
         stays = (set(self.promises) & set(view.voters)) - self.membership.ends(now)
-        if len(stays) > self.lost_most and set(view.copies) <= set(self.promises):
+        enough = self.tolerance.keeps_a_copy(stays, self.kept.localities)
+        if enough and set(view.copies) <= set(self.promises):
             self.choose(now)
 
     # State transfer.
@@ -198,7 +203,7 @@
             self.own,
             *sorted(able, key=lambda p: (p not in voters, p in ends, p in blank, p not in view.copies, p)),
         ]
-        copies = self.order[: self.lost_most + 1]
+        copies = self.tolerance.choose_copies(self.order, self.kept.localities)
         self.awaited = {p for p in copies if p in voters}
         if self.change is not None and self.change.newcomer is not None:
             self.awaited.add(self.change.newcomer)
@@ -216,7 +221,11 @@
         """Sends the whole state to those that may hold a copy in the next view."""
         self.offered |= some
         for peer in sorted(some - {self.own}):
-            self.send(peer, t="transfer", n=self.epoch, items=self.kept.items)
+            self.transfer(peer)
+
+    def transfer(self, peer: str) -> None:
+        """Sends the whole state."""
+        self.send(peer, t="transfer", n=self.epoch, items=self.kept.items, localities=self.kept.localities)
 
     def transfer_to_others(self, now: float) -> bool:
         """Offers the state to all that promised, where those chosen are late; False where that is done."""
@@ -235,11 +244,17 @@
 
     def enough_copies(self, view: View) -> bool:
         """True where as many of a view's voters hold the whole state as may lose it, and one more."""
-        return len(self.transferred & set(view.voters)) >= self.copies_least(view)
+        return self.suffices(self.transferred, view)
+
+    def suffices(self, copies: Iterable[str], view: View) -> bool:
+        """True where these copies outlast what may be lost, or no voter more would bring them nearer."""
+        some = set(copies) & set(view.voters)
+        return self.tolerance.as_many_as_can(some, view.voters, self.kept.localities)
 
-    def copies_least(self, view: View) -> int:
-        """Disks that hold a write before it is acknowledged: fewer would lose it with what may be lost."""
-        return min(self.lost_most + 1, len(view.voters))
+    def chosen_copies(self, hold: list[str], view: View) -> tuple[str, ...]:
+        """The copies of a view among those that hold the whole state."""
+        some = [peer for peer in hold if peer in view.voters]
+        return tuple(self.tolerance.choose_copies(some, self.kept.localities))
 
     def on_transfer(self, now: float, peer: str, word: Word) -> None:
         if word["n"] < self.kept.promised:
@@ -249,6 +264,7 @@
         if not self.kept.blank:
             self.kept.promised = word["n"]
         self.kept.items = {key: list(item) for key, item in word["items"].items()}
+        self.kept.localities = {**localities_of(word.get("localities")), **self.kept.localities}
         self.stand_at = now + self.patience()
         self.send_durable(self.save(now), peer, t="transferred", n=word["n"])
 
@@ -271,10 +287,10 @@
             self.follow(now)
             return
         hold = [p for p in self.order if p in self.transferred]
-        copies = tuple(p for p in hold if p in view.voters)[: self.lost_most + 1]
+        copies = self.chosen_copies(hold, view)
         if self.change is not None:
             came = self.change.newcomer
-            fewer = len(copies) < min(len(base.copies), self.lost_most + 1)
+            fewer = not self.suffices(copies, view)
             if fewer or (came is not None and came not in self.transferred):
                 # A change of the voters never costs a copy, and nobody counts untaught.
                 self.change = None
@@ -282,8 +298,8 @@
                     # Guards against one whose disk hangs. Harm: each try holds up writes, without end.
                     self.membership.taught.discard(came)
                 view = View(view.epoch, view.primary, (), base.voters, base.former)
-                copies = tuple(p for p in hold if p in view.voters)[: self.lost_most + 1]
-        if len(copies) < self.copies_least(view):
+                copies = self.chosen_copies(hold, view)
+        if not self.suffices(copies, view):
             self.follow(now)
             return
         self.next_view = View(view.epoch, view.primary, copies, view.voters, view.former)
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -28,6 +28,7 @@
 from pinward.exchange.rollouts import Rollouts
 from pinward.exchange.storage import Storage
 from pinward.exchange.vault import Vault
+from pinward.exchange.view import localities_of
 from pinward.plan.boot import Boot, Watched
 from pinward.tasks import Tasks
 from pinward.trial.order import Order, Stage
@@ -143,7 +144,7 @@
         def down() -> None:
             self.disk_vectors.pop(peer, None)
 
-        hello = {"t": "hello", "from": self.own, "life": self.life}
+        hello = {"t": "hello", "from": self.own, "life": self.life, "locality": self.boot.locality}
         self.links[peer] = Link(self.dialler, (peer, self.boot.inner), hello, up, down)
         self.dials[peer] = self.tasks.spawn(self.links[peer].run())
 
@@ -216,6 +217,8 @@
         while (word := word_of(await ws.receive())) is not None:
             if word["t"] == "hello":
                 peer = word["from"]
+                for server, locality in localities_of({peer: word.get("locality")}).items():
+                    self.keeper.locate(self.now(), server, locality)
                 self.meet(peer)
                 self.links[peer].kick()
                 self.keeper.met(peer)
@@ -281,6 +284,7 @@
         boot = self.watched.taken(anyway)
         if boot is not None:
             self.boot = boot
+            self.keeper.bear(boot.tolerance)
             self.meet_all()
 
     def look(self, now: float) -> None:
--- a/pinward/exchange/keeper.py
+++ b/pinward/exchange/keeper.py
@@ -39,6 +39,7 @@
 )
 
 __all__ = ["Keeper", "Kept", "Role", "View"]
+from pinward.plan.fault_tolerance import FaultTolerance, Locality
 
 
 class Keeper(Election):
@@ -63,6 +64,16 @@
         """Control fronts that the settings name."""
         self.peers |= set(peers) - {self.own}
 
+    def locate(self, now: float, server: str, locality: Locality) -> None:
+        """A control server tells where it stands; that is kept, since it counts also while it is away."""
+        if self.kept.localities.get(server) != locality and len(self.kept.localities) < PEERS_MOST:
+            self.kept.localities[server] = locality
+            self.save(now)
+
+    def bear(self, tolerance: FaultTolerance) -> None:
+        """What may be lost at once, where the settings say otherwise than before."""
+        self.tolerance = self.membership.tolerance = tolerance
+
     def met(self, peer: str) -> None:
         """A link to a control front stands."""
         if peer == self.own:
@@ -135,6 +146,7 @@
                 del self.seen[peer]
                 for some in (self.blanks, self.left_out, self.answered, self.membership.heard):
                     some.pop(peer, None)
+                self.kept.localities.pop(peer, None)
                 self.membership.taught.discard(peer)
                 self.event(207, peer=peer)
 
@@ -142,13 +154,24 @@
         if now - self.confirmed(now) > ALIVE_S + BEAT_S or self.disk_hangs(now):
             self.step_down(now)
             return
+        self.tell_intolerance()
         if now >= self.beat_at:
             self.beat_at = now + BEAT_S
             self.beat(now)
         if now >= self.change_at and self.due(now):
-            self.change = self.membership.next_change(now, self.view)
+            self.change = self.membership.next_change(now, self.view, self.kept.localities)
             self.prepare(now)
 
+    def tell_intolerance(self) -> None:
+        """An event where the control servers at hand bear what may be lost no more, or do again."""
+        why = self.intolerance()
+        if why != self.told_intolerance:
+            self.told_intolerance = why
+            if why:
+                self.event(215, why=why)
+            else:
+                self.event(216, voters=len(self.view.voters), copies="+".join(self.view.copies))
+
     def beat(self, now: float) -> None:
         self.standbys = self.membership.standbys(now, self.view)
         word = {
@@ -163,11 +186,11 @@
         view, others = self.view, self.membership.others(now, self.view)
         lost = [c for c in view.copies if c != self.own and now - self.answered.get(c, -inf) > ROUND_S]
         able = [p for p in others if now - self.answered.get(p, -inf) < 2 * BEAT_S]
-        few = len(view.copies) <= self.lost_most and bool(able)
+        few = not self.tolerance.as_many_as_can(view.copies, able, self.kept.localities)
         moves = bool(able) and any(c in self.membership.ends(now) for c in view.copies)
         unknown = any(self.left_out.get(peer) != life for peer, life in self.blanks.items())
         stuck = any(now - write.since > ROUND_S for write in self.open.values())
-        changes = self.membership.next_change(now, view) is not None
+        changes = self.membership.next_change(now, view, self.kept.localities) is not None
         return bool(lost) or few or moves or unknown or stuck or changes or self.fenced
 
     def step_down(self, now: float) -> None:
@@ -292,7 +315,7 @@
             if votes:
                 self.answered[peer] = max(word["at"], self.answered.get(peer, -inf))
             elif peer not in self.membership.taught:
-                self.send(peer, t="transfer", n=self.epoch, items=self.kept.items)
+                self.transfer(peer)
         if not (votes and word["blank"]):
             self.membership.heard[peer] = now
         self.catch_up(peer, word)
--- a/pinward/exchange/membership.py
+++ b/pinward/exchange/membership.py
@@ -1,7 +1,8 @@
 """Which control fronts should vote: what an acting primary knows of voters, standbys and those that must end.
 
-Decides the next change of the voters; carries out none. The size is told by what must be borne: twice the
-losses plus one. Further control fronts stand by: they hold the state as it was taught, and vote on nothing.
+Decides the next change of the voters; carries out none. Who should vote is told by what must be borne
+(`plan/fault_tolerance.py`): for machines alone, twice the losses plus one. Further control fronts stand by:
+they hold the state as it was taught, and vote on nothing.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 from math import inf
 
 from pinward.exchange.view import BEAT_S, GOING_S, LEAVING_S, ROUND_S, SILENT_S, View, majority
+from pinward.plan.fault_tolerance import FaultTolerance, Localities
 
 
 @dataclass(frozen=True)
@@ -25,8 +27,8 @@
 
 
 class Membership:
-    def __init__(self, own: str, lost_most: int) -> None:
-        self.own, self.size, self.silent_s = own, 2 * lost_most + 1, SILENT_S
+    def __init__(self, own: str, tolerance: FaultTolerance) -> None:
+        self.own, self.tolerance, self.silent_s = own, tolerance, SILENT_S
         self.since = -inf  # since when this machine leads without a break
         self.heard: dict[str, float] = {}  # when each other machine last answered a beat
         self.taught: set[str] = set()  # standbys whose disks hold what was taught
@@ -59,25 +61,54 @@
         found = [v for v, s in silent.items() if v in ends or s > self.silent_s]
         return sorted(found, key=lambda v: (v not in ends, -silent[v], v))
 
-    def next_change(self, now: float, view: View) -> Change | None:
+    def next_change(self, now: float, view: View, localities: Localities) -> Change | None:
         """The change that is due, where it would keep a majority of both sets of voters."""
         if view.former:
             return None
         ends, live, gone = self.ends(now), self.live(now), self.gone(now, view)
         ready = [p for p in self.standbys(now, view) if p in self.taught and p not in ends]
-        if len(view.voters) > self.size:
-            idle = [v for v in reversed(view.voters) if v not in view.copies and v != self.own]
-            found = [*gone, *idle]
-            change = Change(found[0], None) if found else None
-        elif gone and ready:
-            change = Change(gone[0], ready[0])
-        elif len(view.voters) < self.size and ready:
-            change = Change(None, ready[0])
-        else:
-            change = None
-        if change is None or not (majority(live, view.voters) and majority(live, change.voters(view))):
+        if not (ready or len(view.voters) > 1):
             return None
-        return change
+        best: Change | None = None
+        lacking = self.tolerance.voters_lacking(view.voters, localities)
+        for change in self.steps(view, self.target(view, localities, gone, ready), gone):
+            voters = change.voters(view)
+            left = self.tolerance.voters_lacking(voters, localities)
+            kept = majority(live, view.voters) and majority(live, voters)
+            if kept and (left < lacking or (best is None and left == lacking)):
+                best, lacking = change, left
+        return best
+
+    def target(
+        self, view: View, localities: Localities, gone: list[str], ready: list[str]
+    ) -> list[str]:
+        """Who should vote, of the voters and the standbys that are ready.
+
+        Voters that are gone stay where the others do not bear what may be lost. Where nobody's vote makes
+        that right, all that are here vote, and one that is gone keeps its seat until another is ready.
+        """
+
+        def rank(name: str) -> tuple[int, bool, bool, bool, str]:
+            gone_for = len(gone) - gone.index(name) if name in gone else 0
+            return (gone_for, name != self.own, name not in view.copies, name not in view.voters, name)
+
+        here = [voter for voter in view.voters if voter not in gone]
+        for servers in ([*here, *ready], [*view.voters, *ready]):
+            chosen = self.tolerance.choose_voters(servers, localities, rank)
+            if chosen is not None:
+                return chosen
+        return [*here, *ready, *gone[len(ready) :]]
+
+    def steps(self, view: View, target: list[str], gone: list[str]) -> list[Change]:
+        """Changes of one voter that lead to the target, the better of two alike first."""
+        newcomers = [name for name in target if name not in view.voters]
+        others = [v for v in reversed(view.voters) if v != self.own and v not in gone]
+        without_copy = [v for v in others if v not in view.copies]
+        with_copy = [v for v in others if v in view.copies]
+        leavers = [v for v in (*gone, *without_copy, *with_copy) if v not in target]
+        swaps = [Change(leaver, newcomer) for leaver in leavers for newcomer in newcomers]
+        joins = [Change(None, newcomer) for newcomer in newcomers]
+        return [*swaps, *joins, *(Change(leaver, None) for leaver in leavers)]
 
     def others(self, now: float, view: View) -> set[str]:
         """Live voters that stay and hold no copy: they can take one."""
--- a/pinward/exchange/model.py
+++ b/pinward/exchange/model.py
@@ -21,6 +21,7 @@
 from pinward.exchange.membership import Membership
 from pinward.exchange.view import BEAT_S, PATIENCE_S, Word, majority
 from pinward.explorer import Explorer
+from pinward.plan.fault_tolerance import FaultTolerance
 
 STEP_S = 0.5  # s of one step of time: a lease lasts one and not two, as does a voter's word
 NAMES = ("c0", "c1", "c2")
@@ -65,7 +66,10 @@
 
 
 class Alone(ModelKeeper):
-    """Planted: a primary leaves a copy out of its view by itself, when that copy is silent."""
+    """Planted: a primary leaves a copy out of its view by itself, when that copy is silent, and writes on."""
+
+    def intolerance(self) -> str:
+        return ""
 
     def lead(self, now: float) -> None:
         here = {c for c, at in self.answered.items() if now - at < STEP_S / 2} | {self.own}
@@ -93,7 +97,10 @@
 
 
 class Remover(ModelKeeper):
-    """Planted: a primary takes a silent voter's seat away by itself."""
+    """Planted: a primary takes a silent voter's seat away by itself, and writes on."""
+
+    def intolerance(self) -> str:
+        return ""
 
     def lead(self, now: float) -> None:
         gone = self.membership.gone(now, self.view)
@@ -201,7 +208,7 @@
     # Steps.
 
     def start(self, world: World, name: str, kept: Kept) -> None:
-        world.keepers[name] = self.kind(name, kept, 1, 0, world.now)
+        world.keepers[name] = self.kind(name, kept, FaultTolerance(1), 0, world.now)
         world.disks[name] = pickle.dumps(kept)
 
     def do(self, world: World, name: str, what: Callable[[Keeper], Any], loses: bool = False) -> Any:
--- a/pinward/exchange/parts.py
+++ b/pinward/exchange/parts.py
@@ -25,7 +25,8 @@
 
     def __init__(self, boot: Boot, kept: Kept, now: float, life: str = "") -> None:
         self.boot, self.own, self.life = boot, boot.ip, life or os.urandom(6).hex()
-        self.keeper = Keeper(self.own, kept, boot.lost_most, self.life, now)
+        self.keeper = Keeper(self.own, kept, boot.tolerance, self.life, now)
+        self.keeper.locate(now, self.own, boot.locality)
         self.book = Book(self.own, self.life, boot.beat_s)
         self.tally = Tally(boot.bounds)
         self.links: dict[str, Link] = {}
@@ -66,9 +67,11 @@
         item = self.keeper.kept.items.get(ROLL + service)
         return Order.of(item[2]) if item is not None else None
 
-    def disks_holding(self, line: Line) -> int:
-        """On how many disks a departure is known to be."""
-        return sum(covers(vector, line) for vector in (self.departures.vector, *self.disk_vectors.values()))
+    def outlasts_losses(self, line: Line) -> bool:
+        """True where a departure is known to be on disks of which one outlasts what may be lost."""
+        vectors = {self.own: self.departures.vector, **self.disk_vectors}
+        holders = [server for server, vector in vectors.items() if covers(vector, line)]
+        return self.keeper.tolerance.keeps_a_copy(holders, self.keeper.kept.localities)
 
     @abstractmethod
     def carry(self) -> None:
--- a/pinward/exchange/replication.py
+++ b/pinward/exchange/replication.py
@@ -16,6 +16,7 @@
     Stamp,
     Word,
 )
+from pinward.plan.fault_tolerance import FaultTolerance
 
 
 @dataclass
@@ -30,8 +31,10 @@
 
 
 class Replication(Core):
-    def __init__(self, own: str, kept: Kept, lost_most: int, seed: int | str, now: float) -> None:
-        super().__init__(own, kept, lost_most, seed, now)
+    def __init__(
+        self, own: str, kept: Kept, tolerance: FaultTolerance, seed: int | str, now: float
+    ) -> None:
+        super().__init__(own, kept, tolerance, seed, now)
         self.open: dict[int, Write] = {}
 
     def leads(self, now: float) -> bool:
@@ -40,7 +43,8 @@
 
     def propose(self, now: float, key: str, value: Any) -> int | None:
         """Begins a write; its number, told by a `done` later, or None where this machine may not."""
-        if not self.leads(now) or (key not in self.kept.items and len(self.kept.items) >= ITEMS_MOST):
+        full = key not in self.kept.items and len(self.kept.items) >= ITEMS_MOST
+        if full or not self.leads(now) or self.intolerance():
             return None
         self.number += 1
         self.kept.items[key] = [self.epoch, self.number, value]
@@ -51,6 +55,10 @@
             self.send(copy, t="put", n=self.epoch, seq=self.number, key=key, value=value)
         return self.number
 
+    def intolerance(self) -> str:
+        """Why what would be acknowledged now might not outlast what may be lost; empty where it does."""
+        return self.tolerance.explain(self.view.voters, self.view.copies, self.kept.localities)
+
     def end_open(self, held: bool) -> None:
         """Ends all writes under way: what the next copies took is held, what another may lead on is not."""
         for number in self.open:
--- a/pinward/exchange/view.py
+++ b/pinward/exchange/view.py
@@ -11,6 +11,8 @@
 from enum import Enum, auto
 from typing import Any
 
+from pinward.plan.fault_tolerance import Locality
+
 BEAT_S = 0.15  # s between a primary's beats: six fit into a voter's patience
 ALIVE_S = 0.8  # s after a beat in which a voter helps nobody else to lead: a read's lease rests on it
 LEASE_S = 0.6  # s after a beat was sent in which a majority's answer to it lets the primary act
@@ -104,6 +106,7 @@
     view: View
     blank: bool
     items: dict[str, list[Any]] = field(default_factory=dict)  # key: epoch, number, value
+    localities: dict[str, Locality] = field(default_factory=dict)  # of control servers, as they told them
 
     def plain(self) -> dict[str, Any]:
         return {
@@ -111,11 +114,24 @@
             "view": self.view.plain(),
             "blank": self.blank,
             "items": self.items,
+            "localities": self.localities,
         }
 
     @classmethod
     def of(cls, plain: dict[str, Any]) -> Kept:
-        return cls(plain["promised"], View.of(plain["view"]), plain["blank"], plain["items"])
+        """What was kept, also by a build that knew no localities."""
+        places = localities_of(plain.get("localities", {}))
+        return cls(plain["promised"], View.of(plain["view"]), plain["blank"], plain["items"], places)
+
+
+def localities_of(plain: Any) -> dict[str, Locality]:
+    """Localities by server, as JSON has them; what is none is left out."""
+    found = {}
+    for name, place in plain.items() if isinstance(plain, dict) else ():
+        match place:
+            case [str(zone), str(region)]:
+                found[name] = Locality(zone, region)
+    return found
 
 
 def newest(items: dict[str, list[Any]]) -> Stamp:
--- a/pinward/plan/boot.py
+++ b/pinward/plan/boot.py
@@ -17,6 +17,7 @@
 from result import Err, Ok, Result
 
 from pinward.annunciator import ring
+from pinward.plan.fault_tolerance import FaultTolerance, Locality
 from pinward.plan.units import Address, Span, spell
 
 Where = tuple[str, int]
@@ -40,6 +41,7 @@
     tiers = fields.List(fields.String(), data_key="Tiers", load_default=list)
     ip = fields.String(data_key="Ipaddr", required=True)
     zone = fields.String(data_key="Az", load_default="")
+    region = fields.String(data_key="Reg", load_default="")
     counted = fields.Boolean(data_key="Quorum", load_default=False)
     first = fields.Boolean(data_key="Init", load_default=False)
     folder = fields.String(data_key="VarDir", load_default=None, allow_none=True)
@@ -52,6 +54,7 @@
         fields.Integer(), data_key="PortsIn", required=True, validate=validate.Length(equal=2)
     )
     peers = fields.List(Address(), data_key="Peers", load_default=list)
+    zones = fields.Dict(fields.String(), fields.String(), data_key="Azs", load_default=dict)
 
 
 class Platform(Table):
@@ -59,7 +62,9 @@
 
 
 class Survive(Table):
-    nodes = fields.Integer(data_key="Nodes", load_default=1)
+    machines = fields.Integer(data_key="Nodes", load_default=1, validate=validate.Range(min=0))
+    zones = fields.Integer(data_key="Azs", load_default=0, validate=validate.Range(min=0))
+    regions = fields.Integer(data_key="RegsLost", load_default=0, validate=validate.Range(min=0))
 
 
 class Bounds(Table):
@@ -125,9 +130,14 @@
     inner: int  # the port on which parts of the system speak to each other
     peers: tuple[Where, ...]  # where some control fronts serve machines and operators
     beat_s: float
-    lost_most: int  # counted machines that may be lost at a time
+    tolerance: FaultTolerance  # what may be lost at a time
+    region: str
     bounds: Bound
 
+    @property
+    def locality(self) -> Locality:
+        return Locality(self.zone, self.region)
+
 
 def read_boot(env: Mapping[str, str] = os.environ) -> Result[Boot, str]:
     """The settings file that PINWARD_BOOT names; an error is one line with file, field and reason."""
@@ -148,6 +158,13 @@
     except ValidationError as fault:
         return Err(spell(fault.messages))
     own, net, terms = whole["own"], whole["net"], whole["terms"]
+    tolerance = FaultTolerance(**terms["survive"])
+    region = net["zones"].get(own["zone"], own["region"])
+    if "Ctl" in net["bind"]:
+        zones = {own["zone"]: region, **net["zones"]}
+        refused = tolerance.impossible(len(zones), len(set(zones.values())))
+        if refused is not None:
+            return Err(f"Terms.Survive.{refused[0]}: {refused[1]}")
     return Ok(
         Boot(
             name=own["name"],
@@ -162,7 +179,8 @@
             inner=net["ports"][0],
             peers=tuple(net["peers"]),
             beat_s=whole["platform"]["beat_s"],
-            lost_most=terms["survive"]["nodes"],
+            tolerance=tolerance,
+            region=region,
             bounds=Bound(**terms["bounds"]),
         )  # fmt: skip
     )
--- a/standin/convergence.py
+++ b/standin/convergence.py
@@ -382,7 +382,7 @@
 def in_memory(patches: ExitStack) -> None:
     """Departures are acknowledged and kept in memory alone."""
     patches.enter_context(mock.patch.object(Departures, "restore", lambda self, now, told: None))
-    patches.enter_context(mock.patch.object(Parts, "disks_holding", lambda self, line: 9))
+    patches.enter_context(mock.patch.object(Parts, "outlasts_losses", lambda self, line: True))
 
 
 def counted(patches: ExitStack) -> None:
--- a/standin/exchange_day.py
+++ b/standin/exchange_day.py
@@ -64,6 +64,9 @@
     fronts: int = 6
     cores: int = 3
     lost_most: int = 1
+    survive: dict[str, int] = field(default_factory=dict)  # as the settings have it; `lost_most` where empty
+    core_zones: tuple[str, ...] = ()  # of the control servers in turn; one after the other where empty
+    regions: dict[str, str] = field(default_factory=dict)  # of zones
     zone_s: float = 0.0012  # one way between zones
     client_s: float = 0.002  # one way from clients
     sync_s: float = 0.003  # of a save on a sound disk
@@ -194,6 +197,7 @@
         self.front_ips = [f"10.1.{i}.1" for i in range(shape.fronts)]
         for i, ip in enumerate((*self.core_ips, *self.front_ips)):
             self.zone_of[ip] = f"z{i % shape.zones}"
+        self.zone_of.update(zip(self.core_ips, shape.core_zones, strict=False))
         self.boxes: dict[str, dict[str, bytes]] = {ip: {} for ip in self.core_ips}
         self.first = True
         self.hosts: dict[str, tuple[Process, Any]] = {}
@@ -231,14 +235,18 @@
 
     def boot(self, ip: str) -> Boot:
         core = ip in self.core_ips
+        survive = self.shape.survive or {"Nodes": self.shape.lost_most}
         told = {
             "Self": {
                 "HostName": ip, "Ipaddr": ip, "Az": self.zone_of[ip], "Quorum": core, "Init": self.first,
                 "VarDir": "." if core else None,
             },
-            "Net": {"Bind": {}, "PortsIn": [7620, 7635], "Peers": [f"{c}:8649" for c in self.core_ips[:3]]},
+            "Net": {
+                "Bind": {}, "PortsIn": [7620, 7635], "Peers": [f"{c}:8649" for c in self.core_ips[:3]],
+                "Azs": {z: self.shape.regions.get(z, "r") for z in sorted(set(self.zone_of.values()))},
+            },
             "Plat": {"Hb": f"{BEAT_S}s"},
-            "Terms": {"Survive": {"Nodes": self.shape.lost_most}, "Bnds": self.shape.terms},
+            "Terms": {"Survive": survive, "Bnds": self.shape.terms},
         }  # fmt: skip
         return boot_of(told).unwrap()
 
--- a/standin/exchange_world.py
+++ b/standin/exchange_world.py
@@ -21,6 +21,7 @@
 from typing import Any
 
 from pinward.exchange.keeper import Keeper, Kept, Role, View
+from pinward.plan.fault_tolerance import FaultTolerance
 
 TICK_S = 0.05  # s, as the host looks at the clock
 DELAY_S = (0.0005, 0.004)  # s one way between machines
@@ -130,7 +131,8 @@
         kept = copy.deepcopy(box.disk)
         if kept is None:
             kept = Kept(0, View(0, "", box.seeds, box.seeds), not self.first)
-        box.keeper = Keeper(name, kept, self.lost_most, f"{name}.{box.life}.{self.chance.random()}", self.now)
+        seed = f"{name}.{box.life}.{self.chance.random()}"
+        box.keeper = Keeper(name, kept, FaultTolerance(self.lost_most), seed, self.now)
         box.saving, box.to_save, box.frozen = False, None, False
         for other in self.names:
             keeper = self.boxes[other].keeper
--- a/tests/test_gateway_convergence.py
+++ b/tests/test_gateway_convergence.py
@@ -10,6 +10,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals, Is, LessThan
 
+from pinward.plan.fault_tolerance import FaultTolerance
 from pinward.exchange import desk
 from pinward.exchange.committed import NO_STAMP, Committed, stamp_of
 from pinward.exchange.host import Exchange
@@ -262,5 +263,6 @@
 
 class Named(TestCase):
     def test_the_keeper_says_whole_only_in_touch(self) -> None:
-        keeper = Keeper("c0", Kept(0, View(0, "", ("c0", "c1"), ("c0", "c1")), False), 1, 1, 0.0)
+        kept = Kept(0, View(0, "", ("c0", "c1"), ("c0", "c1")), False)
+        keeper = Keeper("c0", kept, FaultTolerance(1), 1, 0.0)
         self.assertThat((keeper.in_touch(1.0), keeper.whole(1.0)), Equals((False, False)))
--- a/tests/test_gateway_keeper.py
+++ b/tests/test_gateway_keeper.py
@@ -10,6 +10,7 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, GreaterThan, Is, LessThan, Not
 
+from pinward.plan.fault_tolerance import FaultTolerance
 from pinward.exchange import keeper as keepers
 from pinward.exchange import view as views
 from pinward.exchange.election import Election
@@ -185,7 +186,7 @@
         """Symptom: two of three copies stood at once, with one of five machines dead; nobody led for 4 s."""
         names = tuple(f"c{n}" for n in range(5))
         view = keepers.View(1, "c3", ("c3", "c0", "c1"), names)
-        keeper = Keeper("c0", keepers.Kept(1, view, False), 2, 1, 0.0)
+        keeper = Keeper("c0", keepers.Kept(1, view, False), FaultTolerance(2), 1, 0.0)
         keeper.tick(2.0)
         for peer in ("c1", "c2"):
             keeper.hear(2.0, peer, {"t": "pre_granted", "n": 1})
@@ -211,7 +212,11 @@
             self.assertThat(play(seed, 5, 2).broken, Equals([]), f"seed {seed}")
 
     def test_the_world_finds_a_view_with_fewer_copies(self) -> None:
-        with mock.patch.object(Election, "copies_least", lambda self, view: 2):
+        planted = {
+            "suffices": lambda self, copies, view: len(set(copies) & set(view.voters)) >= 2,
+            "intolerance": lambda self: "",
+        }
+        with mock.patch.multiple(Election, **planted):
             said = [one for seed in self.SEEDS for one in play(seed, 5, 2).broken]
         self.assertTrue(any("is acknowledged in epoch" in one for one in said), str(said[:3]))
 
@@ -225,7 +230,8 @@
             for box in world.boxes.values():
                 if not late and box.keeper is not None and box.keeper.role is Role.TRANSFERRING:
                     assert box.keeper.next_view is not None
-                    late = box.keeper.next_view.copies[1]
+                    copies = box.keeper.next_view.copies[1:]
+                    late = next(name for name in copies if not world.boxes[name].saving)
                     world.slow(late, 1000.0, 6.0)
                     epoch = box.keeper.epoch
         now_leads = world.boxes[str(world.primary())].keeper
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -13,6 +13,7 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength, Is, LessThan, Not
 
+from pinward.plan.fault_tolerance import FaultTolerance, Localities
 from pinward.exchange.election import Election
 from pinward.exchange.keeper import Keeper, Kept, Role, View
 from pinward.exchange.model import LOSES, PLANTS, explore
@@ -137,7 +138,7 @@
         self.assertThat(lead.members(world.now), Contains("c3"))
         four = View(lead.epoch, lead.own, lead.view.copies, ("c0", "c1", "c2", "c3"))
         lead.membership.heard.update({name: world.now for name in four.voters if name != lead.own})
-        change = lead.membership.next_change(world.now, four)
+        change = lead.membership.next_change(world.now, four, {})
         assert change is not None
         self.assertThat(change.newcomer, Is(None))
         self.assertThat(four.copies, Not(Contains(change.leaver)))
@@ -202,7 +203,7 @@
         self.assertThat(swap.quorum({"a", "d"}), Is(False))
         self.assertThat(swap.quorum({"b", "c"}), Is(False))
         self.assertThat(swap.quorum({"a", "b"}), Is(True))
-        keeper = Keeper("b", Kept(2, old, False), 1, 1, 0.0)
+        keeper = Keeper("b", Kept(2, old, False), FaultTolerance(1), 1, 0.0)
         keeper.tick(2.0)
         for peer in ("a", "c"):
             keeper.hear(2.0, peer, {"t": "pre_granted", "n": 2})
@@ -443,8 +444,8 @@
             self.found("counts in epoch")
 
     def test_two_changes_at_once(self) -> None:
-        def due(self: Membership, now: float, view: View) -> Change | None:
-            change = whole(self, now, view)
+        def due(self: Membership, now: float, view: View, localities: Localities) -> Change | None:
+            change = whole(self, now, view, localities)
             gone = self.gone(now, view)
             if change is not None and change.newcomer is not None and view.voters:
                 idle = [v for v in view.voters if v not in (self.own, change.leaver, *gone)]
@@ -470,7 +471,11 @@
             said = [w for seed in range(10) for w in narrowed(seed).broken]
             self.assertTrue(any("changes more than one voter" in one for one in said), str(said[:3]))
             # So few copies may not lead any more; where they may, what was acknowledged is lost besides.
-            with mock.patch.object(Election, "copies_least", lambda self, view: 2):
+            planted = {
+                "suffices": lambda self, copies, view: len(set(copies) & set(view.voters)) >= 2,
+                "intolerance": lambda self: "",
+            }
+            with mock.patch.multiple(Election, **planted):
                 said = [w for seed in range(10) for w in narrowed(seed).broken]
         self.assertTrue(any("was acknowledged" in one for one in said), str(said[:3]))
 
--- a/tests/test_gateway_plan.py
+++ b/tests/test_gateway_plan.py
@@ -14,6 +14,7 @@
 
 from pinward.annunciator import EVENTS
 from pinward.exchange.calls import CALLS, checked, find
+from pinward.plan.fault_tolerance import FaultTolerance
 from pinward.plan.boot import Watched, boot_of
 from pinward.plan.schema import plan_of
 from pinward.switchboard.splits import ROUTES_MOST, SplitSequence
@@ -116,7 +117,8 @@
 
     def test_figures_come_out_and_unknown_fields_are_skipped(self) -> None:
         boot = boot_of(self.TOLD).unwrap()
-        self.assertThat((boot.inner, boot.peers, boot.lost_most), Equals((7000, (("10.0.0.2", 90),), 2)))
+        self.assertThat((boot.inner, boot.peers), Equals((7000, (("10.0.0.2", 90),))))
+        self.assertThat(boot.tolerance, Equals(FaultTolerance(machines=2)))
         self.assertThat((boot.bounds.drain_s, boot.bounds.grace_s), Equals((2.0, 6.0)))
 
     def test_faults_are_told_by_field(self) -> None:
