A service's version is recorded with its first machine, never by a later count

Cause: the record of a version was a count of machines at the first look after a start, and only for services that the configuration in force names. A restart moved that moment, and the moment chose. Change: the first beat of a service's first machine is acknowledged once its version is recorded; where a record is lacking or its version has no machine left, the machine that has called most often decides. The planted error that counts at each look also plants that no first machine brings a record.

--- a/pinward/directory/sanctioned.py
+++ b/pinward/directory/sanctioned.py
@@ -18,6 +18,17 @@
     return min(builds, key=lambda build: (-builds[build], len(build), build)) if builds else ""
 
 
+def senior_version(entries: Iterable[Entry]) -> str:
+    """The build of the machine that has called most often; empty where there is none.
+
+    Unlike a count of machines this says the same whenever it is asked: a machine that came later has called
+    less. Of two that called as often the one whose build's name comes first.
+    """
+    here = [entry for entry in entries if entry.standing is not Standing.GONE]
+    ranked = sorted((-entry.calls, len(entry.build), entry.build) for entry in here)
+    return ranked[0][2] if ranked else ""
+
+
 def earlier(entries: Iterable[Entry], last: Order | None, target: str) -> str:
     """The build that a new order to `target` moves traffic from. One that was sent back is none: its machines
     are there for some seconds yet."""
--- a/pinward/exchange/answers.py
+++ b/pinward/exchange/answers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+from collections.abc import Callable
 from dataclasses import replace
 from math import inf
 from typing import Any
@@ -15,6 +16,7 @@
 from pinward.annunciator import ring
 from pinward.directory.entry import Entry, Standing
 from pinward.directory.sanctioned import base_of, earlier
+from pinward.exchange.base_versions import RECORDS_MOST
 from pinward.exchange.calls import Call, checked, entry_of, find, signed
 from pinward.exchange.forward import Fate, Incoming, Outgoing
 from pinward.exchange.parts import PLAN, ROLL, TICK_S, Parts
@@ -23,6 +25,7 @@
 
 CALL_S = 0.9  # s for an answer to an operator, who goes elsewhere after one
 TOLD_S = 0.6  # s for enough disks to hold that a machine leaves; it calls elsewhere after one
+ASK_S = 0.2  # s until the primary is asked again to record a version
 ALONE_S = 1.2  # s without a primary until beats are sent elsewhere: what is told here reaches nobody
 WAIT_S = 0.6  # s without a primary in which a call waits for the next: 1.5 s after its last beat in all
 SOON_S = 0.01  # s between looks at a write that is under way
@@ -43,8 +46,10 @@
 class Answers:
     """A handler's answer is None where nothing was done, so that the call may be tried again."""
 
-    def __init__(self, parts: Parts) -> None:
-        self.parts = parts
+    def __init__(self, parts: Parts, record_first: Callable[[Entry], None]) -> None:
+        """`record_first` has the version of a service's first machine recorded."""
+        self.parts, self.record_first = parts, record_first
+        self.unrecorded: dict[str, asyncio.Event] = {}  # services whose version is being recorded
         self.writes: dict[int, asyncio.Future[bool]] = {}
         self.calls: dict[str, asyncio.Future[Answer | None]] = {}
         self.outgoing, self.incoming = Outgoing(parts.life), Incoming()
@@ -65,6 +70,9 @@
     def learn(self, now: float, order: Order) -> None:
         """An order was taken. How long ago is told by this machine's own clock, which may have heard of it
         late: a repeat is known for too long then, never for too short a time."""
+        recorded = self.unrecorded.pop(order.service, None)
+        if recorded is not None:
+            recorded.set()
         known = self.taken_at.get(order.service, {})
         numbers = (order.number, *(earlier.number for earlier in order.past))
         self.taken_at[order.service] = {number: known.get(number, now) for number in numbers}
@@ -225,8 +233,30 @@
             return 503, fault("nothing was done: no further machine can be held")
         if entry.standing is Standing.DRAIN and not await self.durable(iid):
             return 503, fault("too few disks hold it yet")
+        if entry.standing is Standing.UP and not await self.version_recorded(entry):
+            return 503, fault("which version the service runs is not recorded yet")
         return 200, "{}"
 
+    def has_version(self, entry: Entry) -> bool:
+        """True where it is recorded which version a machine's service runs, or needs no record."""
+        public = self.parts.keeper.public
+        return ROLL + entry.service in public or not entry.build or len(public) >= RECORDS_MOST
+
+    async def version_recorded(self, entry: Entry) -> bool:
+        """True once it is recorded which version the service runs: a restart does not choose it anew."""
+        until = self.until(TOLD_S)
+        while not self.has_version(entry):
+            left = until - self.parts.now()
+            if left <= 0:
+                return False
+            self.record_first(entry)
+            self.parts.carry()
+            recorded = self.unrecorded.setdefault(entry.service, asyncio.Event())
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(recorded.wait(), min(left, ASK_S))
+            self.unrecorded.pop(entry.service, None)
+        return True
+
     async def leave(self, iid: str, said: Any) -> Answer:
         # Symptom: acknowledged by one that had just started and did not know the machine, this reached
         # nobody, and requests went on to it until it was silent for long enough.
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -20,6 +20,7 @@
 from pinward.common.listener import Listener
 from pinward.common.server import ClientServer
 from pinward.directory.book import GONE_S, News, vector_of
+from pinward.directory.entry import Entry
 from pinward.exchange.answers import Answers
 from pinward.exchange.desk import Desk
 from pinward.exchange.keeper import Kept, Role, View
@@ -53,7 +54,8 @@
         self.tasks = Tasks(self.fault)
         self.use(Storage(vault))
         self.rollouts = Rollouts(self, lambda: len(self.desk.fronts))
-        self.answers, self.desk = Answers(self), Desk(self, self.rollouts.report)
+        self.answers = Answers(self, self.rollouts.record_first)
+        self.desk = Desk(self, self.rollouts.report)
         self.dialler: Dialler | None = None
         self.sent: dict[str, tuple[str, int]] = {}  # own life and changes told to each control front
         self.wanted: dict[str, float] = {}  # when each control front was last asked for what is lacking
@@ -264,6 +266,8 @@
                 self.keeper.hear(now, peer, word)
                 if self.keeper.primary == peer and word["n"] >= self.keeper.view.epoch:
                     self.answers.beat_heard(now, peer, word["n"], word["at"])
+            case "version":
+                self.rollouts.record_first(Entry.of(word["entry"]))
             case "report":
                 self.rollouts.report(word["front"], word["reports"])
             case _:
--- a/pinward/exchange/rollouts.py
+++ b/pinward/exchange/rollouts.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from pinward.annunciator import ring
+from pinward.directory.entry import Entry
 from pinward.exchange.base_versions import BaseVersions
 from pinward.exchange.parts import PLAN, ROLL, Parts
 from pinward.trial.order import Stage
@@ -40,6 +41,17 @@
                 ring(220, service=order.service, target=order.target, asked=stage.value, why=why)
                 self.parts.keeper.propose(now, ROLL + order.service, order.moved(stage).kept())
 
+    def record_first(self, entry: Entry) -> None:
+        """Records which version a service runs, by its first machine; asked of the primary by others."""
+        keeper, now = self.parts.keeper, self.parts.now()
+        if self.parts.held_order(entry.service) is not None or not entry.build:
+            return
+        if keeper.leads(now):
+            record = self.versions.first(entry, (line.entry for line in self.parts.book.lines.values()))
+            keeper.propose(now, ROLL + entry.service, record.kept())
+        elif keeper.primary is not None:
+            self.parts.send(keeper.primary, {"t": "version", "entry": entry.plain()})
+
     def record_versions(self, now: float) -> None:
         """Records which versions services run without an order, once all machines are known."""
         if now < self.parts.whole_at or now < self.versions.look_at:
--- a/standin/convergence.py
+++ b/standin/convergence.py
@@ -24,11 +24,13 @@
 
 from pinward.directory.book import SILENT_BEATS
 from pinward.directory.entry import Standing
+from pinward.exchange.answers import Answers
 from pinward.exchange.base_versions import BaseVersions
 from pinward.exchange.committed import NO_STAMP, Committed, stamp_of
 from pinward.exchange.departures import Departures
 from pinward.exchange.keeper import Keeper
 from pinward.exchange.parts import ROLL, Parts
+from pinward.exchange.rollouts import Rollouts
 from pinward.trial.order import Order, digest_of
 from pinward.trunk.session import Known
 from standin.exchange_day import BEAT_S, Class, Day, Shape, request
@@ -388,6 +390,8 @@
 def counted(patches: ExitStack) -> None:
     """The version that runs without an order is counted at each look."""
     patches.enter_context(mock.patch.object(BaseVersions, "due", lambda self, *told: []))
+    patches.enter_context(mock.patch.object(Rollouts, "record_first", lambda self, entry: None))
+    patches.enter_context(mock.patch.object(Answers, "has_version", lambda self, entry: True))
 
 
 def told_fresh(patches: ExitStack) -> None:
--- a/tests/test_gateway_base_versions.py
+++ b/tests/test_gateway_base_versions.py
@@ -5,7 +5,10 @@
 import asyncio
 import json
 from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
+import logbook
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, Is
 
@@ -13,7 +16,9 @@
 from pinward.directory.sanctioned import sanctioned
 from pinward.exchange.base_versions import ABSENT_S, LOOK_S, WRITES_MOST, BaseVersions
 from pinward.trial.order import Order, Stage, record_of
-from standin.exchange_day import Day
+from standin.exchange_day import Day, small
+from standin.virtual import played
+from standin.works import Machine
 from tests.test_gateway_departures_durable import play
 
 KNOWN_S = 7.0  # s after which the control servers know all machines, and which version they run
@@ -43,6 +48,16 @@
     def due(self, versions: BaseVersions, now: float, some: list[Entry], last: Order | None) -> list[str]:
         return [record.target for record in versions.due(now, ("s",), some, lambda _: last)]
 
+    def test_what_is_recorded_is_the_senior_version_whatever_the_numbers_are(self) -> None:
+        """Guards against review/5's class: a record that says what a count said at its moment."""
+        old = [replace(machine, calls=40) for machine in machines(v1=1)]
+        for count in range(1, 9):
+            some = [*machines(v2=count, v3=count), *old]
+            self.assertThat(self.due(BaseVersions(), 1.0, some, None), Equals(["v1"]))
+            self.assertThat(BaseVersions.first(machines(v2=1)[0], some).target, Equals("v1"))
+        self.assertThat(BaseVersions.first(machines(v2=1)[0], []).target, Equals("v2"))
+        self.assertThat(self.due(BaseVersions(), 1.0, machines(v2=3, v10=9), None), Equals(["v2"]))
+
     def test_a_version_is_recorded_once_and_kept_whatever_comes_beside_it(self) -> None:
         versions, record = BaseVersions(), record_of("s", "v1", None)
         self.assertThat(self.due(versions, 1.0, machines(v1=2), None), Equals(["v1"]))
@@ -121,3 +136,85 @@
             self.assertThat(seen, Equals([(404, ""), (200, "done"), (200, "")]), f"{wait_s}")
             late = [run for run in day.works.runs if run.at > wait_s + 1.0 and run.service == "reads"]
             self.assertThat(len(late), GreaterThan(20), f"{wait_s}")
+
+
+Kill = Callable[[Day], Awaitable[None]]
+
+
+async def kill_all(day: Day) -> None:
+    for ip in day.core_ips:
+        day.kill(ip, 0.05)
+
+
+async def lose_power(day: Day) -> None:
+    for ip in day.core_ips:
+        day.kill(ip, 0.05, power=True)
+
+
+async def kill_primary(day: Day) -> None:
+    day.kill(day.primary() or day.core_ips[0], 0.05)
+
+
+async def lose_disk_of_primary(day: Day) -> None:
+    lead = day.primary() or day.core_ips[0]
+    for ip in day.core_ips:
+        day.kill(ip, 0.05, wipe=ip == lead)
+
+
+class NewServices(TestCase):
+    """A service that has just come, a trouble at once, and more machines of another version alongside."""
+
+    def versions(self, begin: Callable[[Day], Awaitable[None]], kill: Kill, apart_s: float) -> set[str]:
+        """Which versions control servers record and proxies send requests to, at the end."""
+
+        async def whole() -> Day:
+            day = Day(small(0.0), 1)
+            for ip in (*day.core_ips, *day.front_ips):
+                day.start(ip)
+            await begin(day)
+            await kill(day)
+            await asyncio.sleep(apart_s)
+            kind = next(k for k in day.shape.kinds if k.name == "reads")
+            for n in range(5):
+                day.machine(kind, f"z{n % 3}", "v2", warm=True)
+            await asyncio.sleep(15.0)
+            return day
+
+        with logbook.NullHandler().applicationbound():
+            day: Day = played(whole())
+        found = set()
+        for ip in day.core_ips:
+            found.add(Order.of(day.hosts[ip][1].keeper.public["roll:reads"][2]).target)
+        for ip in day.front_ips:
+            found |= {machine.entry.build for machine in day.hosts[ip][1].lines.services["reads"].base}
+        return found
+
+    async def machines_then_configuration(self, day: Day) -> None:
+        """The machines have beaten for long as a configuration adds their service."""
+        without = day.plan(1)
+        without["Hosts"][0]["Vroutes"] = [r for r in without["Hosts"][0]["Vroutes"] if r["Svc"] != "reads"]
+        without["Svcs"] = [s for s in without["Svcs"] if s["Name"] != "reads"]
+        await self.old_machines(day)
+        self.assertThat((await day.order("PUT", "/cfg", without))[0], Equals(200))
+        await asyncio.sleep(10.0)
+        self.assertThat((await day.order("PUT", "/cfg", day.plan(2)))[0], Equals(200))
+
+    async def configuration_then_machines(self, day: Day) -> None:
+        """The first machine's first beat is acknowledged a moment ago."""
+        self.assertThat((await day.order("PUT", "/cfg", day.plan(1)))[0], Equals(200))
+        await asyncio.sleep(8.0)
+        machine = (await self.old_machines(day))[0]
+        while not (await day.call("PUT", f"/machines/{machine.iid}", day.beat(machine)))[0]:
+            await asyncio.sleep(0.05)
+
+    async def old_machines(self, day: Day) -> list[Machine]:
+        kind = next(k for k in day.shape.kinds if k.name == "reads")
+        return [day.machine(kind, f"z{n}", "v1", warm=True) for n in range(3)]
+
+    def test_a_restart_beside_a_new_service_lets_no_version_in_that_nobody_ordered(self) -> None:
+        """Guards against review/5: after it a count chose the version, and recorded it for good."""
+        for begin in (self.machines_then_configuration, self.configuration_then_machines):
+            for kill in (kill_all, lose_power, kill_primary, lose_disk_of_primary):
+                for apart_s in (0.1, 2.0):
+                    found = self.versions(begin, kill, apart_s)
+                    self.assertThat(found, Equals({"v1"}), f"{begin.__name__} {kill.__name__} {apart_s}")
