Whether an order is a repeat is told by bounds of its age that outlive a restart

Cause: when an order was taken stood in memory alone, and a process that starts dated all orders that it found on disk as taken just now; acknowledging a repeat dated it anew besides. Change: exchange/order_ages.py bounds each order's age. The record tells how old it is at least and is written anew each second until no repeat can come; a primary that lacks an upper bound asks the other servers. Surely within Ack: a repeat. Surely later: started. Neither: 503 until it is clear, event 224, neither acknowledged nor started. No time of day is read, so a stepped clock changes nothing. Tests changed: the planted error 'again' is planted in the new judgement.

--- a/pinward/exchange/answers.py
+++ b/pinward/exchange/answers.py
@@ -19,6 +19,7 @@
 from pinward.exchange.base_versions import RECORDS_MOST
 from pinward.exchange.calls import Call, checked, entry_of, find, signed
 from pinward.exchange.forward import Fate, Incoming, Outgoing
+from pinward.exchange.order_ages import OrderAges, Sent
 from pinward.exchange.parts import PLAN, ROLL, TICK_S, Parts
 from pinward.plan.schema import plan_of
 from pinward.trial.order import Earlier, Order, Stage, record_of
@@ -29,8 +30,6 @@
 ALONE_S = 1.2  # s without a primary until beats are sent elsewhere: what is told here reaches nobody
 WAIT_S = 0.6  # s without a primary in which a call waits for the next: 1.5 s after its last beat in all
 SOON_S = 0.01  # s between looks at a write that is under way
-LATE_S = 3.0  # s beyond `Ack` in which a repeat may come: a second on its way, the call's own time, `MARK_S`
-MARK_S = 1.0  # s after which an order acknowledged again is dated anew, for its repeats
 PAST_MOST = 16  # orders of a service remembered: each must end before the next, so few fit into `Ack`
 
 UNDONE = "nothing was done: no primary answers"
@@ -46,15 +45,13 @@
 class Answers:
     """A handler's answer is None where nothing was done, so that the call may be tried again."""
 
-    def __init__(self, parts: Parts, record_first: Callable[[Entry], None]) -> None:
+    def __init__(self, parts: Parts, record_first: Callable[[Entry], None], ages: OrderAges) -> None:
         """`record_first` has the version of a service's first machine recorded."""
-        self.parts, self.record_first = parts, record_first
+        self.parts, self.record_first, self.ages = parts, record_first, ages
         self.unrecorded: dict[str, asyncio.Event] = {}  # services whose version is being recorded
         self.writes: dict[int, asyncio.Future[bool]] = {}
         self.calls: dict[str, asyncio.Future[Answer | None]] = {}
         self.outgoing, self.incoming = Outgoing(parts.life), Incoming()
-        self.taken_at: dict[str, dict[int, float]] = {}  # service, order's number: known as taken since then
-        self.repeat_s = parts.boot.bounds.ack_s + LATE_S
         self.closes_at = inf  # from then on nothing is waited for: the process is about to end
 
     def until(self, most_s: float) -> float:
@@ -67,15 +64,11 @@
         if future is not None and not future.done():
             future.set_result(held)
 
-    def learn(self, now: float, order: Order) -> None:
-        """An order was taken. How long ago is told by this machine's own clock, which may have heard of it
-        late: a repeat is known for too long then, never for too short a time."""
-        recorded = self.unrecorded.pop(order.service, None)
+    def version_known(self, service: str) -> None:
+        """It is recorded which version a service runs."""
+        recorded = self.unrecorded.pop(service, None)
         if recorded is not None:
             recorded.set()
-        known = self.taken_at.get(order.service, {})
-        numbers = (order.number, *(earlier.number for earlier in order.past))
-        self.taken_at[order.service] = {number: known.get(number, now) for number in numbers}
 
     def beat_heard(self, now: float, primary: str, epoch: int, at: float) -> None:
         """The primary's beat. A call passed on to another machine has no answer any more."""
@@ -313,11 +306,6 @@
         plan = self.parts.keeper.public.get(PLAN)
         return (200, plan[2]["body"]) if plan is not None else (404, fault("no configuration yet"))
 
-    def age(self, service: str, number: int) -> float:
-        """For how long an order is known as taken, at least."""
-        now = self.parts.now()
-        return now - self.taken_at.get(service, {}).get(number, now)
-
     async def start_roll(self, _: str, said: dict[str, Any], body: str) -> Answer | None:
         service, key = said["service"], ROLL + said["service"]
         while self.parts.keeper.leads(self.parts.now()):
@@ -336,27 +324,47 @@
         target, term_s = asked
         last = last or self.unwritten_record(service, target)
         if last is None:
-            return await self.write(key, self.fresh_order(service, asked, None, ()).kept())
-        known = last.known()
-        past = tuple(e for e in known if self.age(service, e.number) < self.repeat_s)
-        same = next((e for e in past if (e.target, e.term_s) == asked), None)
-        serving = last.stage is Stage.SERVING
-        if same is not None and self.age(service, same.number) < MARK_S:
+            return await self.write_order(key, self.fresh_order(service, asked, None, ()))
+        now = self.parts.now()
+        alike = [one for one in last.known() if (one.target, one.term_s) == asked]
+        sent = {one: self.ages.judge(now, service, one) for one in alike}
+        if Sent.REPEAT in sent.values():
             return 200, "{}"
-        under_way = serving and (last.target, last.term_s) == asked
+        serving = last.stage is Stage.SERVING
         in_force = last.stage is Stage.DONE and last.target == target
+        if in_force or (serving and (last.target, last.term_s) == asked):
+            return await self.acknowledge_again(key, asked, last)
+        unclear = [one for one, what in sent.items() if what is Sent.UNCLEAR]
+        if unclear:
+            left = max(self.ages.clear_in(now, service, one) for one in unclear)
+            ring(224, service=service, target=target, left=round(left, 2))
+            return 503, fault(f"nothing was done: whether it is a repeat is known in {left:.1f} s")
+        if serving:
+            ring(221, service=service, target=target, under_way=last.target)
+            return 409, fault(f"{last.target} is under way")
+        past = self.repeatable(last)
+        if len(past) >= PAST_MOST:
+            return 503, fault(f"nothing was done: {len(past)} orders in {self.ages.repeat_s:.0f} s")
+        return await self.write_order(key, self.fresh_order(service, asked, last, past))
+
+    async def acknowledge_again(self, key: str, asked: tuple[str, float], last: Order) -> Answer | None:
+        """Acknowledges an order that what is in force meets. Its own repeats may come, to another primary."""
+        target, term_s = asked
+        ring(222, service=last.service, target=target, number=last.number)
+        past = self.repeatable(last)
         others = tuple(e for e in past if (e.target, e.term_s) != asked and e.number != last.number)
-        if same is None and not under_way and not in_force:
-            if serving:
-                ring(221, service=service, target=target, under_way=last.target)
-                return 409, fault(f"{last.target} is under way")
-            if len(past) >= PAST_MOST:
-                return 503, fault(f"nothing was done: {len(past)} orders in {self.repeat_s:.0f} s")
-            return await self.write(key, self.fresh_order(service, asked, last, past).kept())
-        # Its repeats may come for as long again as after its first send, and to another primary.
-        ring(222, service=service, target=target, number=last.number)
         again = Earlier(target, term_s, last.next_number())
-        return await self.write(key, replace(last, past=(again, *others[:PAST_MOST]), given=True).kept())
+        return await self.write_order(key, replace(last, past=(again, *others[:PAST_MOST]), given=True))
+
+    def repeatable(self, last: Order) -> tuple[Earlier, ...]:
+        """The orders up to the last one whose repeats may still come."""
+        now, service = self.parts.now(), last.service
+        return tuple(e for e in last.known() if self.ages.judge(now, service, e) is not Sent.NEW)
+
+    async def write_order(self, key: str, order: Order) -> Answer | None:
+        """Writes an order as it is given."""
+        self.ages.propose(self.parts.now(), order)
+        return await self.write(key, self.ages.aged(self.parts.now(), order).kept())
 
     def entries_of(self, service: str) -> list[Entry]:
         lines = self.parts.book.lines.values()
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -25,6 +25,7 @@
 from pinward.exchange.desk import Desk
 from pinward.exchange.keeper import Kept, Role, View
 from pinward.exchange.machine_records import MachineRecords
+from pinward.exchange.order_ages import HEARD_S, OrderAges
 from pinward.exchange.parts import PLAN, ROLL, TICK_S, Parts
 from pinward.exchange.rollouts import Rollouts
 from pinward.exchange.storage import Storage
@@ -53,8 +54,9 @@
         self.began = now
         self.tasks = Tasks(self.fault)
         self.use(Storage(vault))
-        self.rollouts = Rollouts(self, lambda: len(self.desk.fronts))
-        self.answers = Answers(self, self.rollouts.record_first)
+        self.ages = OrderAges(boot.bounds.ack_s)
+        self.rollouts = Rollouts(self, lambda: len(self.desk.fronts), self.ages)
+        self.answers = Answers(self, self.rollouts.record_first, self.ages)
         self.desk = Desk(self, self.rollouts.report)
         self.dialler: Dialler | None = None
         self.sent: dict[str, tuple[str, int]] = {}  # own life and changes told to each control front
@@ -64,6 +66,7 @@
         self.to_save: tuple[int, bytes] | None = None
         self.saving = self.spreading = False
         self.told_at = now
+        self.told_orders: dict[str, tuple[int, str]] = {}  # by service: number and phase in the last event
         self.was_in_touch = self.was_whole = False
         self.watched, self.reread_at = Watched(), now
 
@@ -115,15 +118,23 @@
             ring(210, version=f"{value['version']:08x}", bytes=len(value["body"]))
         elif key.startswith(ROLL):
             order = Order.of(value)
-            facts = {"service": order.service, "target": order.target, "number": order.number}
-            ring(220 if order.given else 223, **facts, stage=order.stage.value)
-            self.answers.learn(self.now(), order)
+            self.tell_order(order)
+            self.answers.version_known(order.service)
+            self.ages.learn(self.now(), order, HEARD_S if self.was_whole else inf)
             if order.stage is Stage.SERVING:
                 self.tally.learn(self.now(), order)
             else:
                 self.tally.forget(order.service)
         self.turn()
 
+    def tell_order(self, order: Order) -> None:
+        """An event where an order is another than the one last told, or in another phase."""
+        told = (order.number, order.stage.value)
+        if self.told_orders.get(order.service) != told:
+            self.told_orders[order.service] = told
+            facts = {"service": order.service, "target": order.target, "number": order.number}
+            ring(220 if order.given else 223, **facts, stage=order.stage.value)
+
     def send(self, peer: str, word: dict[str, Any]) -> None:
         self.meet(peer)
         if peer in self.links:
@@ -268,6 +279,10 @@
                     self.answers.beat_heard(now, peer, word["n"], word["at"])
             case "version":
                 self.rollouts.record_first(Entry.of(word["entry"]))
+            case "ages":
+                self.ages.learn_from(now, word["asked_at"], word["ages"])
+            case "ages wanted":
+                self.send(peer, {"t": "ages", "asked_at": word["at"], "ages": self.ages.told(now)})
             case "report":
                 self.rollouts.report(word["front"], word["reports"])
             case _:
@@ -401,6 +416,9 @@
         """At work from here on: links are opened, time is looked at."""
         self.dialler = dialler
         self.records.restore(self.now())
+        for key, item in self.keeper.kept.items.items():
+            if key.startswith(ROLL):  # what the disk holds is that old at least, whoever leads when
+                self.ages.learn(self.now(), Order.of(item[2]), inf)
         self.meet_all()
         self.tasks.spawn(self.beat())
 
--- a/pinward/exchange/rollouts.py
+++ b/pinward/exchange/rollouts.py
@@ -4,19 +4,26 @@
 
 import json
 from collections.abc import Callable
+from math import inf
 from typing import Any
 
 from pinward.annunciator import ring
 from pinward.directory.entry import Entry
 from pinward.exchange.base_versions import BaseVersions
+from pinward.exchange.order_ages import OrderAges
 from pinward.exchange.parts import PLAN, ROLL, Parts
-from pinward.trial.order import Stage
+from pinward.trial.order import Order, Stage
+
+ASK_AGES_S = 0.3  # s until others are asked again for ages that are lacking
 
 
 class Rollouts:
-    def __init__(self, parts: Parts, proxies: Callable[[], int]) -> None:
+    def __init__(
+        self, parts: Parts, proxies: Callable[[], int], ages: OrderAges
+    ) -> None:
         """`proxies` tells how many proxies are members."""
-        self.parts, self.proxies = parts, proxies
+        self.parts, self.proxies, self.ages = parts, proxies, ages
+        self.ask_ages_at = -inf
         self.versions = BaseVersions()
         self.named: tuple[int, tuple[str, ...]] = (-1, ())  # a configuration's version and its services
 
@@ -33,13 +40,29 @@
         if not self.parts.keeper.leads(now):
             return
         self.record_versions(now)
+        self.ask_ages(now)
         for order in self.parts.orders():
-            if order.stage is not Stage.SERVING:
-                continue
+            if self.parts.held_order(order.service) == order:
+                self.look_at_order(now, order)
+
+    def ask_ages(self, now: float) -> None:
+        """Asks all others how old orders are that were taken before this process heard of them."""
+        if now >= self.ask_ages_at and self.ages.lacking(now):
+            self.ask_ages_at = now + ASK_AGES_S
+            for peer in sorted(self.parts.keeper.peers):
+                self.parts.send(peer, {"t": "ages wanted", "at": now})
+
+    def look_at_order(self, now: float, order: Order) -> None:
+        """Ends an order whose verdict is there; else has its age written, while repeats may come."""
+        stage: Stage | None = None
+        if order.stage is Stage.SERVING:
             stage, why = self.parts.tally.verdict(now, order, self.proxies())
-            if stage is not None and self.parts.held_order(order.service) == order:
-                ring(220, service=order.service, target=order.target, asked=stage.value, why=why)
-                self.parts.keeper.propose(now, ROLL + order.service, order.moved(stage).kept())
+        aged = self.ages.aged(now, order)
+        if stage is not None:
+            ring(220, service=order.service, target=order.target, asked=stage.value, why=why)
+            self.parts.keeper.propose(now, ROLL + order.service, aged.moved(stage).kept())
+        elif aged != order:
+            self.parts.keeper.propose(now, ROLL + order.service, aged.kept())
 
     def record_first(self, entry: Entry) -> None:
         """Records which version a service runs, by its first machine; asked of the primary by others."""
--- a/pinward/trial/order.py
+++ b/pinward/trial/order.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from enum import Enum
 from hashlib import blake2b
@@ -46,6 +46,7 @@
     stage: Stage = Stage.SERVING
     past: tuple[Earlier, ...] = ()
     given: bool = True
+    ages: tuple[tuple[int, float], ...] = ()  # by number: how many s ago it was taken at least, as written
 
     def moved(self, stage: Stage) -> Order:
         """The one place where an order changes its phase."""
@@ -62,21 +63,33 @@
         own = (Earlier(self.target, self.term_s, self.number),) if self.given else ()
         return (*own, *self.past)
 
+    def age_of(self, number: int) -> float:
+        """How many seconds ago an order was taken at least, as the record was written."""
+        return dict(self.ages).get(number, 0.0)
+
+    def with_ages(self, past: tuple[Earlier, ...], ages: Mapping[int, float]) -> Order:
+        """The same order with these before it, and the ages of all of them that are over a second."""
+        numbers = {self.number, *(earlier.number for earlier in past)}
+        told = tuple((number, age) for number, age in sorted(ages.items()) if number in numbers and age)
+        return replace(self, past=past, ages=told)
+
     def next_number(self) -> int:
         """The number of whatever comes after it."""
         return 1 + max(self.number, *(earlier.number for earlier in self.past), 0)
 
     def kept(self) -> list[Any]:
         """What the control state holds."""
-        return [*self.plain(), [list(earlier) for earlier in self.past], self.given]
+        past, ages = [list(earlier) for earlier in self.past], [list(age) for age in self.ages]
+        return [*self.plain(), past, self.given, ages]
 
     @classmethod
     def of(cls, plain: list[Any]) -> Order:
-        """An order as told or as kept, also by a build that knew no earlier ones, or no records."""
+        """An order as told or as kept, also by a build that knew no earlier ones, no records, or no ages."""
         service, target, number, base, term_s, stage, *more = plain
         past = tuple(Earlier(*earlier) for earlier in more[0]) if more else ()
         given = bool(more[1]) if len(more) > 1 else True
-        return cls(service, target, number, base, term_s, Stage(stage), past, given)
+        ages = tuple((number_, age) for number_, age in more[2]) if len(more) > 2 else ()
+        return cls(service, target, number, base, term_s, Stage(stage), past, given, ages)
 
     def supersedes(self, held: Order | None) -> bool:
         """True where this one is to take the place of `held`: a later order, or the end of the same."""
--- a/standin/operators.py
+++ b/standin/operators.py
@@ -21,6 +21,7 @@
 from pinward.exchange.answers import Answer, Answers
 from pinward.exchange.calls import Call, signed
 from pinward.exchange.forward import Fate, Incoming
+from pinward.exchange.order_ages import OrderAges, Sent
 from pinward.exchange.parts import PLAN
 from pinward.plan.boot import Boot, Bound
 from pinward.trial.order import Order, Stage
@@ -354,7 +355,7 @@
 PLANTS: dict[str, tuple[Any, str, Any]] = {
     "by-number": (Answers, "put_plan", by_number),  # confirms any body under a number in force
     "refused": (Answers, "put_plan", refused),  # refuses a repeat once another primary leads
-    "again": (Answers, "age", lambda self, service, number: inf),  # starts an ended roll-out again
+    "again": (OrderAges, "judge", lambda self, *told: Sent.NEW),  # starts an ended roll-out again
     "late": (Incoming, "judge", always),  # carries out what comes late, or under another epoch
     "unconfirmed": (Answers, "answer", anywhere),  # reads what is known at whichever control front
 }
