A repeat's acknowledgement is written where repeats of its own may follow

What callers saw: two operators give the same order within Ack of each other; the second is acknowledged as a repeat, and its own repeat, sent over 8 s after the first, started a roll-out again. Change: the record counts such acknowledgements and tells the span since the last. What looks like the order is unclear (503) until no repeat of that one can come; it is never again surely a repeat. The disk's opening stands in exchange/storage.py and the look's time in base_versions.py alone: moved, not changed. The new row in tests/test_gateway_order_repeats.py needs what this commit adds.

--- a/pinward/exchange/__main__.py
+++ b/pinward/exchange/__main__.py
@@ -11,14 +11,15 @@
 import time
 
 from pinward.annunciator import ring, start
-from pinward.exchange.host import Exchange, open_vault
+from pinward.exchange.host import Exchange
+from pinward.exchange.storage import open_state
 from pinward.plan.boot import Boot, read_boot
 
 
 async def serve(boot: Boot) -> None:
     stop, loop = asyncio.Event(), asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
-    vault, kept = open_vault(boot)
+    vault, kept = open_state(boot)
     exchange = Exchange(boot, vault, kept, time.monotonic())
     loop.add_signal_handler(signal.SIGHUP, exchange.reread, True)
     await exchange.run(stop)
--- a/pinward/exchange/answers.py
+++ b/pinward/exchange/answers.py
@@ -328,7 +328,9 @@
         now = self.parts.now()
         alike = [one for one in last.known() if (one.target, one.term_s) == asked]
         sent = {one: self.ages.judge(now, service, one) for one in alike}
-        if Sent.REPEAT in sent.values():
+        if repeat := next((one for one in alike if sent[one] is Sent.REPEAT), None):
+            if self.ages.repeated(now, service, repeat):
+                return await self.write(key, self.ages.aged(now, last).kept())
             return 200, "{}"
         serving = last.stage is Stage.SERVING
         in_force = last.stage is Stage.DONE and last.target == target
--- a/pinward/exchange/base_versions.py
+++ b/pinward/exchange/base_versions.py
@@ -26,6 +26,13 @@
         self.look_at = 0.0
         self.absent_since: dict[str, float] = {}  # by service
 
+    def look_is_due(self, now: float) -> bool:
+        """True once every `LOOK_S`: whoever asks looks then."""
+        if now < self.look_at:
+            return False
+        self.look_at = now + LOOK_S
+        return True
+
     def due(
         self,
         now: float,
@@ -34,9 +41,6 @@
         order_of: Callable[[str], Order | None],
     ) -> list[Order]:
         """Records to write for these services, by the machines that there are and each one's last order."""
-        if now < self.look_at:
-            return []
-        self.look_at = now + LOOK_S
         machines: dict[str, list[Entry]] = {service: [] for service in services}
         for entry in entries:
             if entry.standing is not Standing.GONE and entry.service in machines:
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from math import inf
-from pathlib import Path
 from typing import Any
 
 from aiohttp.web_request import BaseRequest
@@ -23,7 +22,7 @@
 from pinward.directory.entry import Entry
 from pinward.exchange.answers import Answers
 from pinward.exchange.desk import Desk
-from pinward.exchange.keeper import Kept, Role, View
+from pinward.exchange.keeper import Kept, Role
 from pinward.exchange.machine_records import MachineRecords
 from pinward.exchange.order_ages import HEARD_S, OrderAges
 from pinward.exchange.parts import PLAN, ROLL, TICK_S, Parts
@@ -436,16 +435,3 @@
         while not self.keeper.released and self.now() < until:
             await asyncio.sleep(TICK_S)
         ring(208, released=self.keeper.released)
-
-
-def open_vault(boot: Boot) -> tuple[Vault, Kept]:
-    """The state on disk, or what a machine without any begins from."""
-    vault = Vault(Path(boot.folder or "."))
-    data = vault.read()
-    founders = tuple(sorted(host for host, _ in boot.peers))
-    if data is not None:
-        return vault, Kept.of(data)
-    blank = not boot.first
-    if blank:
-        ring(203)
-    return vault, Kept(0, View(0, "", founders, founders), blank)
--- a/pinward/exchange/order_ages.py
+++ b/pinward/exchange/order_ages.py
@@ -15,9 +15,10 @@
 from math import floor, inf
 from typing import Any
 
-from pinward.trial.order import Earlier, Order
+from pinward.trial.order import Age, Earlier, Order
 
-LATE_S = 3.0  # s beyond `Ack` in which a repeat may come: it was a second on its way, and as long at servers
+LATE_S = 3.0  # s beyond `Ack` in which a repeat may come: on its way, at servers, and `MARK_S`
+MARK_S = 1.0  # s after an acknowledgement from which on another is written: its repeats may come later
 HEARD_S = 1.0  # s by which a server in touch with the primary may hear of an order late: its link's patience
 
 
@@ -35,6 +36,8 @@
 
     at_earliest: float
     at_latest: float
+    repeats: int = 0  # acknowledgements of it that may have repeats of their own
+    repeated_at: float = -inf  # when the last of these was, at the latest
 
 
 class OrderAges:
@@ -57,22 +60,20 @@
         known = self.taken.get(order.service, {})
         taken = {}
         for one in order.known():
-            at_latest = now - order.age_of(one.number)
+            age = order.age_of(one.number)
+            at_latest = now - age.least_s
             held = known.get(one)
             if held is None:
                 proposed = self.proposed.get((order.service, one))
                 held = Taken(at_latest - late_s if proposed is None else proposed, at_latest)
             held.at_latest = min(held.at_latest, at_latest)
             held.at_earliest = min(held.at_earliest, held.at_latest)
+            if age.repeats > held.repeats:
+                held.repeats, held.repeated_at = age.repeats, now - age.quiet_s
             taken[one] = held
         self.taken[order.service] = taken
         self.proposed = {key: at for key, at in self.proposed.items() if key[0] != order.service}
 
-    def least(self, now: float, service: str, one: Earlier) -> float:
-        """The age that an order has at least, in s."""
-        held = self.taken.get(service, {}).get(one)
-        return now - held.at_latest if held is not None else 0.0
-
     def most(self, now: float, service: str, one: Earlier) -> float:
         """The age that an order has at most, in s; inf where that is not known."""
         held = self.taken.get(service, {}).get(one)
@@ -111,19 +112,49 @@
         """What an order is that looks like this one and comes now."""
         if self.most(now, service, one) <= self.ack_s:
             return Sent.REPEAT
-        return Sent.NEW if self.least(now, service, one) > self.repeat_s else Sent.UNCLEAR
+        return Sent.NEW if self.quiet(now, service, one) > self.repeat_s else Sent.UNCLEAR
 
     def clear_in(self, now: float, service: str, one: Earlier) -> float:
         """Seconds until an order that looks like this one is surely new."""
-        return max(0.0, self.repeat_s - self.least(now, service, one))
+        return max(0.0, self.repeat_s - self.quiet(now, service, one))
+
+    def quiet(self, now: float, service: str, one: Earlier) -> float:
+        """Seconds since an order was taken, or a late repeat of it acknowledged, at least."""
+        held = self.taken.get(service, {}).get(one)
+        return now - max(held.at_latest, held.repeated_at) if held is not None else 0.0
+
+    def repeated(self, now: float, service: str, one: Earlier) -> bool:
+        """A repeat is about to be acknowledged; True where its own repeats may come too late to be known.
+
+        Then that is to be written first: another operator may have given the same order, and sends it for as
+        long again. What looks like it stays unclear meanwhile, since it may be a new order too.
+        """
+        held = self.taken.get(service, {}).get(one)
+        if held is None or self.quiet(now, service, one) < MARK_S:
+            return False
+        held.repeats, held.repeated_at = held.repeats + 1, now
+        return True
 
     def is_settled(self, order: Order) -> bool:
         """True where the record of an order's age is not to be written any more: no repeat can come."""
-        return not order.past and (not order.given or order.age_of(order.number) >= self.oldest_s)
+        if order.past or not order.given:
+            return not order.past
+        age = order.age_of(order.number)
+        return age.least_s >= self.oldest_s and (not age.repeats or age.quiet_s >= self.oldest_s)
 
     def aged(self, now: float, order: Order) -> Order:
         """The order as it is to be written now: with its ages, without what is past repeating."""
-        least = {one: self.least(now, order.service, one) for one in order.known()}
-        past = tuple(earlier for earlier in order.past if least[earlier] <= self.repeat_s)
-        whole = {one.number: min(float(floor(age)), self.oldest_s) for one, age in least.items()}
-        return order.with_ages(past, whole)
+        past = tuple(one for one in order.past if self.judge(now, order.service, one) is not Sent.NEW)
+        return order.with_ages(past, [self.age(now, order.service, one) for one in order.known()])
+
+    def age(self, now: float, service: str, one: Earlier) -> Age:
+        """What is to be written of an order's age."""
+        held = self.taken.get(service, {}).get(one)
+        if held is None:
+            return Age(one.number)
+        quiet_s = self.written(now - held.repeated_at) if held.repeats else 0.0
+        return Age(one.number, self.written(now - held.at_latest), held.repeats, quiet_s)
+
+    def written(self, span_s: float) -> float:
+        """A span as a record has it: whole seconds, up to where no repeat can come."""
+        return float(floor(min(span_s, self.oldest_s)))
--- a/pinward/exchange/rollouts.py
+++ b/pinward/exchange/rollouts.py
@@ -79,7 +79,7 @@
 
     def record_versions(self, now: float) -> None:
         """Records which versions services run without an order, once all machines are known."""
-        if now < self.parts.whole_at or now < self.versions.look_at:
+        if now < self.parts.whole_at or not self.versions.look_is_due(now):
             return
         entries = [line.entry for line in self.parts.book.lines.values()]
         for record in self.versions.due(now, self.services(), entries, self.parts.held_order):
--- a/pinward/exchange/storage.py
+++ b/pinward/exchange/storage.py
@@ -5,10 +5,13 @@
 import asyncio
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 from typing import TypeVar
 
 from pinward.annunciator import ring
+from pinward.exchange.keeper import Kept, View
 from pinward.exchange.vault import DEPARTURES, MACHINES, Vault
+from pinward.plan.boot import Boot
 
 RETRY_S = (0.05, 0.8)  # s between tries of a disk that refuses writes, doubled each time
 
@@ -47,3 +50,16 @@
     async def make_room(self) -> None:
         """The control state goes before the machines known, on a disk that takes no more."""
         await asyncio.get_running_loop().run_in_executor(self.executor, self.hint.empty)
+
+
+def open_state(boot: Boot) -> tuple[Vault, Kept]:
+    """The state on disk, or what a machine without any begins from."""
+    vault = Vault(Path(boot.folder or "."))
+    data = vault.read()
+    founders = tuple(sorted(host for host, _ in boot.peers))
+    if data is not None:
+        return vault, Kept.of(data)
+    blank = not boot.first
+    if blank:
+        ring(203)
+    return vault, Kept(0, View(0, "", founders, founders), blank)
--- a/pinward/trial/order.py
+++ b/pinward/trial/order.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from enum import Enum
 from hashlib import blake2b
@@ -30,6 +30,15 @@
     number: int
 
 
+class Age(NamedTuple):
+    """What the record of an order tells of its age; spans in s, as the record was written."""
+
+    number: int  # of the order
+    least_s: float = 0.0  # since it was taken, at least
+    repeats: int = 0  # acknowledgements of it that may have repeats of their own
+    quiet_s: float = 0.0  # since the last of these, at least
+
+
 @dataclass(frozen=True)
 class Order:
     """`number` rises with each order of a service, `base` is the earlier build, `term_s` the time wanted.
@@ -46,7 +55,7 @@
     stage: Stage = Stage.SERVING
     past: tuple[Earlier, ...] = ()
     given: bool = True
-    ages: tuple[tuple[int, float], ...] = ()  # by number: how many s ago it was taken at least, as written
+    ages: tuple[Age, ...] = ()  # of this order and of `past`, where there is something to tell
 
     def moved(self, stage: Stage) -> Order:
         """The one place where an order changes its phase."""
@@ -63,15 +72,15 @@
         own = (Earlier(self.target, self.term_s, self.number),) if self.given else ()
         return (*own, *self.past)
 
-    def age_of(self, number: int) -> float:
-        """How many seconds ago an order was taken at least, as the record was written."""
-        return dict(self.ages).get(number, 0.0)
+    def age_of(self, number: int) -> Age:
+        """What is told of the age of an order with this number."""
+        return next((age for age in self.ages if age.number == number), Age(number))
 
-    def with_ages(self, past: tuple[Earlier, ...], ages: Mapping[int, float]) -> Order:
-        """The same order with these before it, and the ages of all of them that are over a second."""
+    def with_ages(self, past: tuple[Earlier, ...], ages: Iterable[Age]) -> Order:
+        """The same order with these before it, and with their ages."""
         numbers = {self.number, *(earlier.number for earlier in past)}
-        told = tuple((number, age) for number, age in sorted(ages.items()) if number in numbers and age)
-        return replace(self, past=past, ages=told)
+        told = sorted(age for age in ages if age.number in numbers and age != Age(age.number))
+        return replace(self, past=past, ages=tuple(told))
 
     def next_number(self) -> int:
         """The number of whatever comes after it."""
@@ -88,7 +97,7 @@
         service, target, number, base, term_s, stage, *more = plain
         past = tuple(Earlier(*earlier) for earlier in more[0]) if more else ()
         given = bool(more[1]) if len(more) > 1 else True
-        ages = tuple((number_, age) for number_, age in more[2]) if len(more) > 2 else ()
+        ages = tuple(Age(*age) for age in more[2]) if len(more) > 2 else ()
         return cls(service, target, number, base, term_s, Stage(stage), past, given, ages)
 
     def supersedes(self, held: Order | None) -> bool:
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -15,7 +15,8 @@
 
 import tests.test_gateway_parts as parts_tests
 import tests.test_gateway_wire as wire_tests
-from pinward.exchange.host import HANDED_S, STOP_S, Exchange, open_vault
+from pinward.exchange.host import HANDED_S, STOP_S, Exchange
+from pinward.exchange.storage import open_state
 from pinward.plan.boot import boot_of
 from pinward.switchboard import leaving
 from pinward.switchboard.call import Call, Reply, Send, Wait
@@ -227,7 +228,7 @@
     async def called_late(self, folder: str) -> bytes:
         """What a machine gets that says it leaves in the control server's last moments."""
         boot = boot_of(self.settings(folder)).unwrap()
-        vault, kept = open_vault(boot)
+        vault, kept = open_state(boot)
         stop = asyncio.Event()
         running = asyncio.ensure_future(Exchange(boot, vault, kept, time.monotonic()).run(stop))
         await asyncio.sleep(0.1)
--- a/tests/test_gateway_order_repeats.py
+++ b/tests/test_gateway_order_repeats.py
@@ -15,7 +15,7 @@
 from testtools.matchers import Contains, Equals, LessThan
 
 from pinward.exchange.order_ages import HEARD_S, OrderAges, Sent
-from pinward.trial.order import Earlier, Order, Stage
+from pinward.trial.order import Age, Earlier, Order, Stage
 from standin.exchange_day import Day, small
 from standin.virtual import played
 
@@ -51,10 +51,10 @@
         self.assertThat(self.judged(105.0, 105.1, 108.05, 108.2),
                         Equals([Sent.REPEAT, Sent.UNCLEAR, Sent.UNCLEAR, Sent.NEW]))  # fmt: skip
 
-    def test_after_a_start_it_is_as_old_as_its_record_tells_at_least_and_never_surely_a_repeat(self) -> None:
+    def test_after_a_start_it_is_as_old_as_its_record_tells_and_never_surely_a_repeat(self) -> None:
         for age, new_at in ((0.0, 108.1), (5.0, 103.1), (9.0, 100.0)):
             self.ages = OrderAges(ACK_S)
-            self.ages.learn(100.0, self.order.with_ages((), {3: age}), inf)
+            self.ages.learn(100.0, self.order.with_ages((), [Age(3, age)]), inf)
             self.assertThat(self.judged(new_at), Equals([Sent.NEW]), str(age))
             if age < 8.0:
                 self.assertThat(self.judged(100.0, new_at - 0.2), Equals([Sent.UNCLEAR] * 2), str(age))
@@ -70,20 +70,38 @@
         self.assertThat(self.judged(106.3, 106.5), Equals([Sent.UNCLEAR, Sent.NEW]))
         self.assertThat(OrderAges(ACK_S).told(0.0), Equals([]))
 
+    def test_what_an_acknowledged_repeat_may_be_followed_by_starts_nothing(self) -> None:
+        """Guards against a second operator's order, acknowledged as a repeat, whose own repeat starts it."""
+        one = Earlier("v2", 4.0, 3)
+        self.ages.learn(100.0, self.order, 0.0)
+        self.assertThat(self.ages.repeated(100.5, "s", one), Equals(False))  # its repeats come in time
+        self.assertThat(self.ages.repeated(104.5, "s", one), Equals(True))
+        aged = self.ages.aged(104.5, self.order)
+        self.assertThat(aged.ages, Equals((Age(3, 4.0, 1, 0.0),)))
+        self.assertThat(self.judged(105.0, 109.4, 112.4, 112.6),
+                        Equals([Sent.REPEAT, Sent.UNCLEAR, Sent.UNCLEAR, Sent.NEW]))  # fmt: skip
+        started = OrderAges(ACK_S)  # a process that starts a second later
+        started.learn(3.0, aged, inf)
+        judged = [started.judge(at, "s", one) for at in (10.9, 11.1)]
+        self.assertThat(judged, Equals([Sent.UNCLEAR, Sent.NEW]))
+        self.assertThat(self.ages.is_settled(self.ages.aged(112.0, self.order)), Equals(False))
+        self.assertThat(self.ages.is_settled(self.ages.aged(114.0, self.order)), Equals(True))
+
     def test_what_is_written_is_what_is_known_and_drops_what_no_repeat_can_follow(self) -> None:
         order = Order("s", "v3", 4, "v1", 4.0, past=(Earlier("v2", 4.0, 3),))
         self.ages.learn(100.0, order, 0.0)
         self.assertThat(self.ages.aged(100.9, order), Equals(order))
         aged = self.ages.aged(102.5, order)
-        self.assertThat((aged.age_of(3), aged.age_of(4), aged.past), Equals((2.0, 2.0, order.past)))
+        self.assertThat((aged.ages, aged.past), Equals(((Age(3, 2.0), Age(4, 2.0)), order.past)))
         old = self.ages.aged(120.0, order)
-        self.assertThat((old.past, old.age_of(4)), Equals(((), 9.0)))
+        self.assertThat((old.past, old.ages), Equals(((), (Age(4, 9.0),))))
         self.assertThat(self.ages.aged(500.0, old), Equals(old))  # nothing more is written
         settled = [self.ages.is_settled(one) for one in (order, aged, old)]
         self.assertThat(settled, Equals([False, False, True]))
 
     def test_kept_and_read_again_by_this_build_and_by_an_earlier_one(self) -> None:
-        order = Order("s", "v3", 4, "v1", 4.0, past=(Earlier("v2", 4.0, 3),), ages=((3, 2.0), (4, 1.0)))
+        ages = (Age(3, 2.0), Age(4, 1.0, 2, 1.0))
+        order = Order("s", "v3", 4, "v1", 4.0, past=(Earlier("v2", 4.0, 3),), ages=ages)
         kept = json.loads(json.dumps(order.kept()))
         self.assertThat(Order.of(kept), Equals(order))
         self.assertThat(Order.of(kept[:8]).ages, Equals(()))
