Surplus answers, ids that come twice on a connection and grounds of promises are told

Change: event 312 and figures under /metrics; each connection keeps a Bloom filter of the ids that it carried (2 KiB, 1,024 ids). Nothing decides by it yet. The two states of a line of figures that the forwarder kept are one FigureLog.

--- a/pinward/annunciator.py
+++ b/pinward/annunciator.py
@@ -92,6 +92,10 @@
     310: Event("WARNING", "spoilt answer", "A machine's answer was no answer to its request.",
                "Look at the machine where it repeats."),
     311: Event("INFO", "line left out", "A machine is left out after failures.", "Look at the machine."),
+    312: Event("INFO", "surplus answers",
+               "Figures since the start: answers of machines that no request was due, by place; of these the "
+               "refusals; ids that came twice on a connection; on what promises that nothing ran rest.",
+               "Look at the machine named where idle, misplaced or behind rise."),
     320: Event("INFO", "trial vote", "A front votes on a build, with its evidence.", "Nothing."),
     330: Event("INFO", "clients left", "Figures of clients that left before their answers, since the start.",
                "Nothing."),
--- a/pinward/switchboard/forwarding.py
+++ b/pinward/switchboard/forwarding.py
@@ -17,19 +17,21 @@
 from multidict import CIMultiDict
 
 from pinward.annunciator import ring
+from pinward.common.figure_log import FigureLog
 from pinward.common.metrics import Metrics
 from pinward.common.server import ClientConnection
 from pinward.plan.boot import Boot
+from pinward.switchboard.answer_watch import AnswerWatch
 from pinward.switchboard.call import Call, Reply, Send, Wait
 from pinward.switchboard.departures import OUTLIVE_S, DepartureWatch, allowance_s
-from pinward.switchboard.kept import ID
+from pinward.switchboard.kept import ID, NOT_RUN
 from pinward.switchboard.leaving import LeaveSchedule
 from pinward.switchboard.lines import Lines
 from pinward.switchboard.pipelining import READ_AT, ahead
 from pinward.switchboard.splits import SplitSequence
 from pinward.switchboard.stream import Outlet, Sink
-from pinward.switchboard.verdict import BROKEN, End, Ending, ended
-from pinward.switchboard.wire import DEADLINE, NOT_RUN, WANT, Wire, passed_on
+from pinward.switchboard.verdict import BROKEN, PROMISES, End, Ending, ended
+from pinward.switchboard.wire import DEADLINE, WANT, Wire, passed_on
 from pinward.tally.tries import Tries
 from pinward.tasks import Tasks
 from pinward.trial.front import Trial
@@ -39,7 +41,6 @@
 DEADLINE_S = 30.0  # s a client waits that does not say how long
 UNKNOWN_S = 0.3  # s after which a client is told to come back to a front that knows no configuration yet
 CHECK_S = 0.05  # s beyond the bound after which work that outlived its client is counted
-TELL_S = 5.0  # s between two lines of figures in the log
 SERVICES_SPARE = 64  # services of former configurations whose budget is remembered
 
 Body = bytes | AsyncIterator[bytes]
@@ -95,9 +96,13 @@
         self.sends = Tasks(lambda _, why: ring(110, why=repr(why)))  # they may outlast their requests
         self.metrics = Metrics()
         self.departures = DepartureWatch(self.metrics)
+        self.answers = AnswerWatch(self.metrics)
+        self.logs = (
+            FigureLog(330, lambda: self.departures.departures.value, lambda: self.departures.figures),
+            FigureLog(312, lambda: self.answers.changes, lambda: self.answers.figures),
+        )
         self.leaving: LeaveSchedule | None = None  # once the proxy was told to end
         self.violations_told = 0
-        self.departures_told, self.departures_told_at = 0.0, -inf
 
     @staticmethod
     def now() -> float:
@@ -127,15 +132,14 @@
             tries = self.tries[service] = Tries(self.boot.bounds)
         return tries
 
-    def tell_departures(self, now: float) -> None:
-        """Logs what clients' leaves came to since the last call, violations of the invariant at once."""
+    def tell_figures(self, now: float) -> None:
+        """Logs figures that have changed since the last call, violations of an invariant at once."""
         watch = self.departures
         if watch.violations > self.violations_told:
             self.violations_told = watch.violations
             ring(331, outlived=watch.outlived.value, after=watch.after.value)
-        if watch.departures.value > self.departures_told and now >= self.departures_told_at + TELL_S:
-            self.departures_told, self.departures_told_at = watch.departures.value, now
-            ring(330, **watch.figures)
+        for log in self.logs:
+            log.tell(now)
 
     def leave(self, schedule: LeaveSchedule) -> None:
         """The proxy was told to end: from now on its schedule bounds what is sent to machines."""
@@ -328,6 +332,8 @@
             return await sink.end(reply.ending is not None and reply.ending.streamed)
         sink.shut()
         if reply.ending is None:
+            if reply.status in PROMISES:
+                self.shared.answers.promised(self.call.last)
             return own_answer(reply.status, reply.back_s)
         headers = CIMultiDict((key, value) for key, value in reply.ending.headers if key != NOT_RUN)
         return Response(status=reply.status, body=reply.ending.body, headers=headers)
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -106,7 +106,7 @@
                 self.reread_at = now + REREAD_S
                 self.reread()
             self.look(now)
-            self.forwarder.tell_departures(now)
+            self.forwarder.tell_figures(now)
             if self.server is not None:
                 self.server.end_overdue(now)
             for trial in self.trials.values():
@@ -131,7 +131,7 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop`, then ends within the grace: what was read is finished first."""
         dialler = Dialler()
-        tasks = self.begin(Wire(), dialler)
+        tasks = self.begin(Wire(self.forwarder.answers), dialler)
         try:
             await self.listen(stop)
         finally:
--- a/pinward/switchboard/kept.py
+++ b/pinward/switchboard/kept.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import struct
 from contextlib import suppress
@@ -19,10 +20,13 @@
 from aiohttp.client_reqrep import ClientRequest, ConnectionKey
 from aiohttp.connector import Connection
 
+from pinward.switchboard.answer_watch import AnswerWatch, Place
+from pinward.switchboard.asked_ids import AskedIds
+
 REST_S = 4.0  # s that an idle connection is kept, where the machine tells no less
 REST_PART = 0.7  # of the time the machine tells: its close and our next request would cross
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER by which a close sends a reset
-ID, KEEP = "X-Try-Id", "Keep-Alive"
+ID, KEEP, NOT_RUN = "X-Try-Id", "Keep-Alive", "X-Not-Run"
 
 
 class NothingSentError(aiohttp.ClientConnectionError):
@@ -48,9 +52,18 @@
     served = False  # an earlier request was answered on it
     rest_s, since = REST_S, 0.0  # how long it may be idle, and since when it is
 
+    def __init__(self, loop: asyncio.AbstractEventLoop, watch: AnswerWatch) -> None:
+        super().__init__(loop)
+        self.watch = watch
+        self.asked_ids = AskedIds()
+
     def asks(self, id_: str | None) -> None:
         """From here on an answer is awaited."""
         self.asked, self.asked_id, self.dropped, self.body = True, id_, not self.served, None
+        if id_ is not None:
+            if self.asked_ids.may_hold(id_):
+                self.watch.repeated_ids.add()
+            self.asked_ids.add(id_)
 
     def rests(self) -> None:
         """From here on none is: what comes belongs to no request."""
@@ -76,10 +89,16 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             self.abort()
 
+    def saw_surplus(self, place: Place, refusal: bool) -> None:
+        """An answer came that no request was due."""
+        where = self.transport.get_extra_info("peername") if self.transport is not None else None
+        self.watch.saw_surplus(place, refusal, f"{where[0]}:{where[1]}" if where else "")
+
     def data_received(self, data: bytes) -> None:
         if data and not self.asked:  # without data aiohttp goes on with what it holds back
             # Symptom: a surplus answer that came while idle stood in the place of the next request's.
             # Harm: a request that may run once was lost, as nobody can tell whether it ran.
+            self.saw_surplus(Place.IDLE, NOT_RUN.lower().encode() in data.lower())
             self.close()
             return
         super().data_received(data)
@@ -88,13 +107,19 @@
         """Takes a whole head, with its body to come."""
         message = data[0]
         headers = message.headers
+        refusal = NOT_RUN in headers
         if not self.asked:
+            self.saw_surplus(Place.IDLE, refusal)
             self.close()  # it came behind the end of an answer, in one segment with it
             return
         if message.code >= 200:
+            if self.body is not None:
+                self.saw_surplus(Place.BEHIND, refusal)
             told = headers.getall(ID, ())
             if self.asked_id is not None and told and self.asked_id not in told and not self.dropped:
                 # One surplus answer may come in the place of the next: the one asked for is behind it.
+                if self.body is None:
+                    self.saw_surplus(Place.MISPLACED, refusal)
                 self.dropped = True
                 self.force_close()
                 return
@@ -107,10 +132,10 @@
 class Channels(aiohttp.TCPConnector):
     """The pool of connections to machines; with `kept` false each send has one of its own."""
 
-    def __init__(self, kept: bool) -> None:
+    def __init__(self, kept: bool, watch: AnswerWatch) -> None:
         more: dict[str, Any] = {"keepalive_timeout": REST_S} if kept else {"force_close": True}
         super().__init__(limit=0, use_dns_cache=False, **more)
-        self._factory = cast("partial[ResponseHandler]", partial(Channel, loop=self._loop))
+        self._factory = cast("partial[ResponseHandler]", partial(Channel, loop=self._loop, watch=watch))
 
     async def connect(self, req: ClientRequest, traces: Any, timeout: aiohttp.ClientTimeout) -> Connection:
         """A connection on which nothing was written yet; raises NothingSentError where it is gone."""
--- a/pinward/switchboard/wire.py
+++ b/pinward/switchboard/wire.py
@@ -17,7 +17,9 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from pinward.switchboard.kept import ID, Channels, NothingSentError
+from pinward.common.metrics import Metrics
+from pinward.switchboard.answer_watch import AnswerWatch
+from pinward.switchboard.kept import ID, NOT_RUN, Channels, NothingSentError
 from pinward.switchboard.stream import Outlet
 from pinward.switchboard.verdict import End, Ending, Sent, ended
 
@@ -35,14 +37,14 @@
         "proxy-authenticate", "proxy-authorization", "content-length",
     )
 )  # fmt: skip
-DEADLINE, WANT, STAMP, LOAD, NOT_RUN = "X-Deadline-Ms", "X-Want-Machine", "X-Stamp", "X-Load", "X-Not-Run"
+DEADLINE, WANT, STAMP, LOAD = "X-Deadline-Ms", "X-Want-Machine", "X-Stamp", "X-Load"
 
 
-def client(kept: bool) -> aiohttp.ClientSession:
+def client(kept: bool, watch: AnswerWatch) -> aiohttp.ClientSession:
     """A session whose connections are kept, or one with a connection of its own for each send."""
     made = aiohttp.ClientSession(
-        connector=Channels(kept), cookie_jar=aiohttp.DummyCookieJar(), trust_env=False, auto_decompress=False,
-        skip_auto_headers=AUTO,
+        connector=Channels(kept, watch), cookie_jar=aiohttp.DummyCookieJar(), trust_env=False,
+        auto_decompress=False, skip_auto_headers=AUTO,
     )  # fmt: skip
     made._retry_connection = False  # it would send again what may have run
     return made
@@ -80,8 +82,9 @@
 class Wire:
     """Sends to machines."""
 
-    def __init__(self) -> None:
-        self.kept, self.single = client(True), client(False)
+    def __init__(self, watch: AnswerWatch | None = None) -> None:
+        watch = watch or AnswerWatch(Metrics())
+        self.kept, self.single = client(True, watch), client(False, watch)
 
     async def close(self) -> None:
         await self.kept.close()
