Reproduced, failing: a copy of a refusal is taken for the answer to a repeat

A repeat that ran is called refused (three refusals, three orders of ids, GET and POST; a whole proxy gives 503 for a request that runs, or sends it to a second machine); an earlier answer is given to a repeat; a machine's slot is free while it works and its work outlives the client.

--- a/tests/test_gateway_surplus_answers.py
+++ b/tests/test_gateway_surplus_answers.py
@@ -3,19 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+from math import inf
 from random import Random
+from typing import Any
 
 from multidict import CIMultiDict
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
+import tests.test_gateway_wire as wire_tests
 from pinward.common.metrics import Metrics
 from pinward.switchboard.answer_watch import AnswerWatch
 from pinward.switchboard.asked_ids import IDS_MOST, AskedIds
-from pinward.switchboard.verdict import Ending
+from pinward.switchboard.departures import OUTLIVE_S
+from pinward.switchboard.verdict import Ending, Verdict
 from pinward.switchboard.wire import Wire
+from standin.copying_machine import CopyingMachine
 from standin.faulty_machine import Act, FaultyMachine, answered, turned_away
 from tests.test_gateway_verdicts import played
+from tests.test_gateway_wire import EDGE
 
 
 def sends(
@@ -71,3 +77,108 @@
             self.assertThat((told, watch.figures["refusals"]), Equals(({place} - {""}, refusals)), repr(acts))
             self.assertThat(watch.figures["repeated_ids"], Equals(int(ids == "787")))
             self.assertThat(watch.figures["last_machine"] != "", Equals(bool(place)))
+
+
+REFUSALS = (turned_away("7"), turned_away("7", 429, b"no"), answered("7", 421, b""))
+
+
+class Copies(TestCase):
+    """Copies of answers that bear the id of the request that is under way."""
+
+    def repeated(self, refusals: list[bytes], ids: str, method: str) -> tuple[Ending, CopyingMachine]:
+        """The ending of the last of several sends to one machine, one after another, with these ids."""
+
+        async def work() -> tuple[Ending, CopyingMachine]:
+            machine, wire = CopyingMachine(refusals), Wire()
+            machine.gate.set()
+            port = await machine.start()
+            for id_ in ids:
+                headers = CIMultiDict({"Host": "h", "X-Try-Id": id_})
+                ending = await wire.send(method, f"http://127.0.0.1:{port}/a", headers, b"", 0.5, False)
+            await wire.close()
+            return ending, machine
+
+        return played(work)  # type: ignore[no-any-return]
+
+    def test_a_copy_of_a_refusal_says_nothing_of_a_repeat_under_the_same_id(self) -> None:
+        """Symptom: a request that its machine ran was called refused, by a copy of its first refusal."""
+        for refusal in REFUSALS:
+            for ids in ("77", "787", "78987"):
+                for method in ("GET", "POST"):
+                    ending, machine = self.repeated([refusal], ids, method)
+                    name = f"{refusal!r}, {ids}, {method}"
+                    self.assertThat(machine.ran.count("7"), Equals(1), name)
+                    self.assertThat((ending.verdict, ending.body[-4:]), Equals((Verdict.RAN, b"of 7")), name)
+
+    def test_a_copy_of_an_answer_is_not_the_answer_to_a_repeat(self) -> None:
+        ending, machine = self.repeated([], "787", "GET")
+        self.assertThat((ending.body, machine.ran), Equals((b"run 3 of 7", ["7", "8", "7"])))
+
+    def test_connections_are_kept_behind_refusals(self) -> None:
+        ids = "789abcdef"
+        _, machine = self.repeated([turned_away(id_) for id_ in ids[:-1]], ids, "POST")
+        self.assertThat((machine.opened, machine.arrived), Equals((1, len(ids))))
+
+
+class Repeats(TestCase):
+    """Clients that send a request again under its id, through a whole proxy that knows two machines."""
+
+    board, taken = wire_tests.Clients.board, wire_tests.Clients.taken
+    ONCE = b"POST /book/x HTTP/1.1\r\nHost: toy.example\r\nX-Try-Id: 7\r\nX-Deadline-Ms: 900\r\n\r\n"
+    IDEM = b"GET /toy/x HTTP/1.1\r\nHost: toy.example\r\nX-Try-Id: 7\r\nX-Deadline-Ms: 2000\r\n\r\n"
+
+    def ask(self, raw: bytes, work: Any) -> CopyingMachine:
+        """A client's request is refused by both machines; then it sends it again, and `work` goes on."""
+
+        async def whole() -> CopyingMachine:
+            machine = CopyingMachine([REFUSALS[0], REFUSALS[0]])
+            board, stop, running = await self.board(await machine.start(), await machine.start())
+            _, writer = await self.sent(raw, b"503")
+            writer.close()
+            for known in board.lines.machines.values():
+                known.full_until = known.aside_until = -inf
+            await work(machine, board, raw)
+            stop.set()
+            await running
+            return machine
+
+        return played(whole)  # type: ignore[no-any-return]
+
+    async def sent(self, raw: bytes, status: bytes = b"") -> tuple[bytes, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection(*EDGE)
+        writer.write(raw)
+        head = await reader.readuntil(b"\r\n\r\n") if status else b""
+        if status:
+            self.assertThat(head.split()[1], Equals(status))
+        return head, writer
+
+    def test_nothing_runs_that_was_refused_with_a_promise_by_a_copy(self) -> None:
+        """Symptom: REFUSED, a payment ran that its client had been told would not run."""
+
+        async def work(machine: CopyingMachine, board: Any, raw: bytes) -> None:
+            reader, writer = await asyncio.open_connection(*EDGE)
+            writer.write(raw)
+            await machine.running.wait()
+            machine.gate.set()
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+            self.assertThat((machine.ran, head.split()[1]), Equals((["7"], b"200")))
+
+        self.ask(self.ONCE, work)
+
+    def test_a_copy_ends_no_work_of_a_request_that_may_run_again(self) -> None:
+        """Symptom: a machine's slot was free to the proxy while it worked, and others were asked besides."""
+
+        async def work(machine: CopyingMachine, board: Any, raw: bytes) -> None:
+            _, writer = await self.sent(raw)
+            await machine.running.wait()
+            for _ in range(50):
+                await asyncio.sleep(0.001)
+            sends = sum(known.open for known in board.lines.machines.values())
+            self.assertThat((sends, machine.at_work, machine.ran), Equals((1, 1, ["7"])))
+            writer.transport.abort()
+            async with asyncio.timeout(OUTLIVE_S):
+                while machine.at_work:
+                    await asyncio.sleep(0.01)
+
+        self.ask(self.IDEM, work)
