A connection to a machine carries each request id once, so no copy is an answer

Callers saw: a request that may run once was refused with 503, or went to a second machine, while it ran (REFUSED, TWICE); of one that may run again the machine's slot was taken for free, the budget was spent and the work outlived its client. Cause: an answer was believed by its id alone. A copy of an earlier answer bears the id of a request that its client sends again, on the same connection. Why this works: whatever copies come, they bear ids that the connection has carried; a request goes out only where its id surely has not been carried (a Bloom filter says so).

--- a/pinward/switchboard/answer_watch.py
+++ b/pinward/switchboard/answer_watch.py
@@ -41,7 +41,7 @@
         )
         self.repeated_ids = count(
             "pinward_repeated_ids_total",
-            "Requests whose id the connection chosen for them had carried before, as far as is known.",
+            "Requests for which idle connections were passed over: these may have carried their id.",
         )
         self.unsent = count(
             "pinward_promises_unsent_total", "Promises that nothing ran: no machine had been asked."
--- a/pinward/switchboard/kept.py
+++ b/pinward/switchboard/kept.py
@@ -2,7 +2,8 @@
 
 aiohttp's pool hands out any connection that is up: bytes that came while it was idle are then the answer to
 the next request. Here an answer is taken only where one is asked for, and one that bears another request's id
-is dropped, once: the answer that was asked for comes behind it.
+is dropped, once: the answer that was asked for comes behind it. Any answer may come once more, at any time,
+so a connection carries each id once: what bears the id under way is no copy of an earlier answer.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import socket
 import struct
 from contextlib import suppress
+from contextvars import ContextVar
 from functools import partial
 from time import monotonic
 from typing import Any, cast
@@ -28,6 +30,9 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER by which a close sends a reset
 ID, KEEP, NOT_RUN = "X-Try-Id", "Keep-Alive", "X-Not-Run"
 
+# Of the request that a connection is sought for: aiohttp asks its pool by the machine's address alone.
+CONNECTING_ID: ContextVar[str | None] = ContextVar("CONNECTING_ID", default=None)
+
 
 class NothingSentError(aiohttp.ClientConnectionError):
     """The connection was gone before a byte of the request was written."""
@@ -61,9 +66,9 @@
         """From here on an answer is awaited."""
         self.asked, self.asked_id, self.dropped, self.body = True, id_, not self.served, None
         if id_ is not None:
-            if self.asked_ids.may_hold(id_):
-                self.watch.repeated_ids.add()
             self.asked_ids.add(id_)
+        if self.asked_ids.full:
+            self.force_close()
 
     def rests(self) -> None:
         """From here on none is: what comes belongs to no request."""
@@ -135,10 +140,15 @@
     def __init__(self, kept: bool, watch: AnswerWatch) -> None:
         more: dict[str, Any] = {"keepalive_timeout": REST_S} if kept else {"force_close": True}
         super().__init__(limit=0, use_dns_cache=False, **more)
+        self.watch = watch
         self._factory = cast("partial[ResponseHandler]", partial(Channel, loop=self._loop, watch=watch))
 
     async def connect(self, req: ClientRequest, traces: Any, timeout: aiohttp.ClientTimeout) -> Connection:
-        """A connection on which nothing was written yet; raises NothingSentError where it is gone."""
+        """A connection on which neither this request nor its id was written yet.
+
+        Raises NothingSentError where it is gone.
+        """
+        CONNECTING_ID.set(req.headers.get(ID))
         made = await super().connect(req, traces=traces, timeout=timeout)
         channel = made.protocol
         if not isinstance(channel, Channel) or not channel.is_connected():
@@ -148,12 +158,34 @@
         return made
 
     async def _get(self, key: ConnectionKey, traces: Any) -> Connection | None:
-        while (found := await super()._get(key, traces)) is not None:
+        id_ = CONNECTING_ID.get()
+        chosen: Connection | None = None
+        passed_over: list[Connection] = []
+        while chosen is None and (found := await super()._get(key, traces)) is not None:
             channel = found.protocol
-            if isinstance(channel, Channel) and channel.usable:
-                return found
-            found.close()
-        return None
+            if not isinstance(channel, Channel) or not channel.usable:
+                found.close()
+            elif id_ is not None and channel.asked_ids.may_hold(id_):
+                passed_over.append(found)
+            else:
+                chosen = found
+        if passed_over:
+            self.pass_over(passed_over, replaced=chosen is None)
+        return chosen
+
+    def pass_over(self, connections: list[Connection], replaced: bool) -> None:
+        """Puts connections back unused; one of them ends where a new connection is to be made.
+
+        So a client that sends the same id over and over holds no more connections than others.
+        """
+        self.watch.repeated_ids.add()
+        if replaced:
+            connections.pop(0).close()
+        for connection in connections:
+            channel = cast("Channel", connection.protocol)
+            since = channel.since
+            connection.release()
+            channel.since = since  # it rests since it was last used
 
     def _release(self, key: ConnectionKey, protocol: ResponseHandler, *, should_close: bool = False) -> None:
         if isinstance(protocol, Channel):
