--- a/standin/acknowledged_soak.py
+++ b/standin/acknowledged_soak.py
@@ -2,7 +2,8 @@
 
 Round after round, operators and machines are acknowledged a few things at the same time: a configuration, a
 roll-out order, drains, `DELETE`s of machines that are known and of one whose first beat is yet to come. At
-that moment all control servers and a proxy are killed; some rounds take their power as well, some a disk.
+that moment all control servers and a proxy are killed; some rounds take their power as well, some a disk,
+some a disk and the power of all else, proxies too.
 Then all are started again, and after a bound every control server and proxy must treat all as acknowledged.
 """
 
@@ -33,7 +34,8 @@
 DOWN_S = (0.1, 0.6)  # s until the processes are started again, drawn
 LATE_BEAT_S = 1.0  # s after the start at which a first beat comes that a `DELETE` has overtaken
 ACTS_MOST = 3  # at the same time
-POWER, DISK = 0.5, 0.4  # shares of the rounds in which all lose their power, one its disk
+# What a round takes, drawn: the power of all, a disk. With both, all proxies go too.
+LOSSES = ((False, False), (True, False), (True, False), (False, True), (True, True), (True, True))
 MACHINES_COUNT = 5  # that a round begins with
 START_S = 30.0  # s for the gateway to serve its first request
 ORDERED = "kiosk"  # the service with a roll-out; the others' machines come and go
@@ -188,13 +190,14 @@
             await machine.runner.cleanup()
 
     async def kill_all(self) -> None:
-        """All control servers and a proxy at one moment; they come back with what the disks hold."""
-        killed = [*self.rig.cores, self.chance.choice(self.rig.fronts)]
+        """All control servers and proxies at one moment; they come back with what the disks hold."""
+        power, disk = self.chance.choice(LOSSES)
+        fronts = self.rig.fronts if power and disk else [self.chance.choice(self.rig.fronts)]
+        killed = [*self.rig.cores, *fronts]
         for ip in killed:
             self.processes[ip].kill()
-        power, disk = self.chance.random() < POWER, self.chance.random() < DISK
         lost = self.chance.choice(self.rig.cores) if disk else ""
-        self.counts.update(["power lost"] * power + ["disk lost"] * disk)
+        self.counts.update(["power lost"] * power + ["disk lost"] * disk + ["both"] * (power and disk))
         self.rig.first = False
         for core in self.rig.cores:
             folder = self.rig.folder_of(core)
--- a/standin/convergence.py
+++ b/standin/convergence.py
@@ -3,7 +3,8 @@
 Whole gateways in simulated time, drawn by a seed. While processes are killed, frozen, cut off and lose their
 power or a disk, operators change the configuration and order roll-outs, and machines join, drain and leave.
 Then it is quiet for a bound; then every control server is asked, and every proxy is sent requests on each
-route. Judged by what operators, machines and clients sent and saw alone.
+route. Half of the seeds end a day with the worst loss that is allowed: right behind an acknowledgement a
+disk is lost as all else loses power. Judged by what operators, machines and clients sent and saw alone.
 """
 
 from __future__ import annotations
@@ -41,6 +42,7 @@
 QUIET_S = LIVE_S + APPLY_S + SILENT_BEATS * BEAT_S  # s after the last trouble until all must agree
 KNOWN_S = 7.0  # s after the start until all machines are known
 TROUBLED_S = 14.0  # s in which troubles begin that overlap
+LAST_S = (0.0, 0.05)  # s from the last acknowledgement to the loss that ends a day
 EPISODES = 3  # in place of these in every other seed
 PAUSE_S = (0.05, 0.8)  # s between two steps, drawn
 TERM_S = 6.0  # s that an order may take
@@ -235,6 +237,19 @@
             await step()
             await asyncio.sleep(self.chance.uniform(1.0, 4.0))
 
+    async def lose_a_disk_and_all_power(self) -> None:
+        """The worst loss that is allowed: what memory alone held is gone, proxies and all."""
+        day = self.day
+        acts = [self.change, self.roll_out, self.start_unordered, self.join, self.leave, self.leave]
+        some = self.chance.sample(acts, self.chance.randint(1, len(acts)))
+        self.found.steps.update(f"last {act.__name__}" for act in some)
+        await asyncio.gather(*(act() for act in some))
+        await asyncio.sleep(self.chance.uniform(*LAST_S))
+        lost = day.primary() if self.chance.random() < 0.5 else None
+        lost = lost or self.chance.choice(day.core_ips)
+        for ip in (*day.core_ips, *day.front_ips):
+            self.kill(ip, self.chance.uniform(0.0, 0.6), power=True, wipe=ip == lost)
+
     # The day.
 
     async def play(self, day: Day) -> None:
@@ -245,6 +260,9 @@
         else:
             await self.overlap()
         await asyncio.sleep(max(QUIET_S, ROLLED_S))
+        if day.seed // 2 % 2:
+            await self.lose_a_disk_and_all_power()
+            await asyncio.sleep(max(QUIET_S, ROLLED_S))
         if any(not task.done() for task in self.operations):
             self.fault("an operation is never acknowledged")
         await self.judge()
--- a/tests/test_gateway_base_versions.py
+++ b/tests/test_gateway_base_versions.py
@@ -16,7 +16,9 @@
 from pinward.directory.sanctioned import sanctioned
 from pinward.exchange.base_versions import ABSENT_S, LOOK_S, WRITES_MOST, BaseVersions
 from pinward.trial.order import Order, Stage, record_of
+from standin import losses
 from standin.exchange_day import Day, small
+from standin.losses import Loss
 from standin.virtual import played
 from standin.works import Machine
 from tests.test_gateway_departures_durable import play
@@ -138,33 +140,16 @@
             self.assertThat(len(late), GreaterThan(20), f"{wait_s}")
 
 
-Kill = Callable[[Day], Awaitable[None]]
-
-
-async def kill_all(day: Day) -> None:
-    for ip in day.core_ips:
-        day.kill(ip, 0.05)
-
-
-async def lose_power(day: Day) -> None:
-    for ip in day.core_ips:
-        day.kill(ip, 0.05, power=True)
-
-
-async def kill_primary(day: Day) -> None:
-    day.kill(day.primary() or day.core_ips[0], 0.05)
-
-
-async def lose_disk_of_primary(day: Day) -> None:
-    lead = day.primary() or day.core_ips[0]
-    for ip in day.core_ips:
-        day.kill(ip, 0.05, wipe=ip == lead)
+LOSSES = (
+    losses.kill_all, losses.lose_power, losses.restart_primary, losses.lose_disk_of_primary,
+    losses.lose_disk_and_all_power, losses.lose_disk_of_copy_and_all_power,
+)  # fmt: skip
 
 
 class NewServices(TestCase):
     """A service that has just come, a trouble at once, and more machines of another version alongside."""
 
-    def versions(self, begin: Callable[[Day], Awaitable[None]], kill: Kill, apart_s: float) -> set[str]:
+    def versions(self, begin: Callable[[Day], Awaitable[None]], kill: Loss, apart_s: float) -> set[str]:
         """Which versions control servers record and proxies send requests to, at the end."""
 
         async def whole() -> Day:
@@ -214,7 +199,7 @@
     def test_a_restart_beside_a_new_service_lets_no_version_in_that_nobody_ordered(self) -> None:
         """Guards against review/5: after it a count chose the version, and recorded it for good."""
         for begin in (self.machines_then_configuration, self.configuration_then_machines):
-            for kill in (kill_all, lose_power, kill_primary, lose_disk_of_primary):
+            for kill in LOSSES:
                 for apart_s in (0.1, 2.0):
                     found = self.versions(begin, kill, apart_s)
                     self.assertThat(found, Equals({"v1"}), f"{begin.__name__} {kill.__name__} {apart_s}")
--- a/tests/test_gateway_departures_durable.py
+++ b/tests/test_gateway_departures_durable.py
@@ -21,6 +21,7 @@
 
 Troubles = Callable[[Day], Awaitable[None]]
 TERMS = {"RetryExtra": 10, "Drain": "2s"}
+ALL_PROXIES = small().fronts
 RUNS_ON_S = 9.0  # s that a machine serves on after its `DELETE` was acknowledged
 
 
@@ -56,8 +57,10 @@
     machine.acked_drain = day.now()
 
 
-async def replaced_beside_a_herd_kill(day: Day, wipe: int | None = None, power: bool = False) -> None:
-    """A machine joins and another leaves; all servers and a proxy are killed right after the 200."""
+async def replaced_beside_a_herd_kill(
+    day: Day, wipe: int | None = None, power: bool = False, proxies: int = 1
+) -> None:
+    """A machine joins and another leaves; all servers and some proxies are killed right after the 200."""
     await asyncio.sleep(1.0)
     leaver = day.of("reads")[0]
     day.machine(leaver.kind, leaver.zone, warm=True)
@@ -65,7 +68,8 @@
     await says_gone(day, leaver)
     for turn, ip in enumerate(day.core_ips):
         day.kill(ip, 0.2, power=power, wipe=turn == wipe)
-    day.kill(day.front_ips[0], 0.2)
+    for ip in day.front_ips[:proxies]:
+        day.kill(ip, 0.2, power=power)
     await asyncio.sleep(RUNS_ON_S)
     day.works.end(leaver)
 
@@ -83,11 +87,12 @@
 
     def test_a_departure_outlives_one_disk_while_all_lose_power(self) -> None:
         for wipe in range(3):
+            for proxies in (1, ALL_PROXIES):
 
-            async def troubles(day: Day, wipe: int = wipe) -> None:
-                await replaced_beside_a_herd_kill(day, wipe, power=True)
+                async def troubles(day: Day, wipe: int = wipe, proxies: int = proxies) -> None:
+                    await replaced_beside_a_herd_kill(day, wipe, power=True, proxies=proxies)
 
-            self.assertThat(broken(play(troubles)), Equals([]), f"server {wipe}")
+                self.assertThat(broken(play(troubles)), Equals([]), f"server {wipe}, {proxies} proxies")
 
     def test_no_200_comes_before_two_disks_hold_it(self) -> None:
         """Each disk but one refuses writes: the machine is told 503, and 200 once a second takes them."""
--- a/tests/test_gateway_order_repeats.py
+++ b/tests/test_gateway_order_repeats.py
@@ -16,17 +16,16 @@
 
 from pinward.exchange.order_ages import HEARD_S, OrderAges, Sent
 from pinward.trial.order import Age, Earlier, Order, Stage
+from standin import losses
 from standin.exchange_day import Day, small
+from standin.losses import Loss
 from standin.virtual import played
 
 ACK_S = 5.0  # s, the users' bound, as the settings have it by default
 ORDER = {"Svc": "reads", "Target": "v2", "Over": "4s"}
 BACK = {"Svc": "reads", "Target": "v1", "Over": "4s"}
-DOWN_S = 0.05  # s until a killed process begins to start: it is back within half a second
 SEEN_S = 1.0  # s after an acknowledgement in which an order must be under way
 
-Trouble = Callable[[Day], Awaitable[None]]
-
 
 class Ages(TestCase):
     """One change of what is known at a time."""
@@ -108,43 +107,6 @@
         self.assertThat(kept[6], Equals([["v2", 4.0, 3]]))  # as builds that know no ages read it
 
 
-async def nothing(day: Day) -> None:
-    """No trouble."""
-
-
-async def kill_all(day: Day) -> None:
-    for ip in day.core_ips:
-        day.kill(ip, DOWN_S)
-
-
-async def lose_power(day: Day) -> None:
-    for ip in day.core_ips:
-        day.kill(ip, DOWN_S, power=True)
-
-
-async def kill_primary(day: Day) -> None:
-    day.kill(day.primary() or day.core_ips[0], 4.0)
-
-
-async def restart_primary(day: Day) -> None:
-    day.kill(day.primary() or day.core_ips[0], DOWN_S)
-
-
-async def lose_disk_of_primary(day: Day) -> None:
-    lead = day.primary() or day.core_ips[0]
-    for ip in day.core_ips:
-        day.kill(ip, DOWN_S, wipe=ip == lead)
-
-
-async def freeze_primary(day: Day) -> None:
-    day.freeze(day.primary() or day.core_ips[0], 2.0)
-
-
-TROUBLES = (
-    nothing, kill_all, lose_power, kill_primary, restart_primary, lose_disk_of_primary, freeze_primary,
-)  # fmt: skip
-
-
 class Days(TestCase):
     """Whole control servers in simulated time; the operator's order ends, then it is sent again."""
 
@@ -189,13 +151,13 @@
 
     def test_a_new_order_like_an_earlier_one_is_started(self) -> None:
         """Guards against review/6: acknowledged after a restart as a repeat of long ago, never started."""
-        for trouble in TROUBLES:
+        for trouble in losses.ALL:
             for after_s, before_s in ((5.5, 1.5), (5.5, 4.0), (7.0, 0.5), (18.0, 3.0)):
                 for back in (False, True):
                     self.play(partial(self.sent_anew, trouble, after_s, before_s, back))
 
     async def sent_anew(
-        self, trouble: Trouble, after_s: float, before_s: float, back: bool, day: Day
+        self, trouble: Loss, after_s: float, before_s: float, back: bool, day: Day
     ) -> None:
         """So long after the order, and behind a trouble so long before, it is given anew."""
         name = f"{trouble.__name__} {after_s} {before_s} {back}"
@@ -210,19 +172,20 @@
         held = self.held(day)
         self.assertThat((held.target, held.stage), Equals(("v2", Stage.SERVING)), name)
         self.assertThat(last, LessThan(held.number), name)
-        await kill_all(day)  # the closing fault
+        closing = losses.lose_all_power if trouble in losses.OF_A_DISK else losses.lose_disk_and_all_power
+        await closing(day)
         await asyncio.sleep(3.0)
         _, state = await day.order("GET", "/rolls/reads")
         self.assertThat(state, Contains("serving"), name)
 
     def test_a_repeat_within_ack_is_never_started_again_nor_refused(self) -> None:
-        for trouble in TROUBLES:
+        for trouble in losses.ALL:
             for after_s, before_s in ((1.5, 1.0), (3.0, 0.2), (4.8, 2.5), (4.9, 0.05)):
                 for back in (False, True):
                     self.play(partial(self.sent_again, trouble, after_s, before_s, back))
 
     async def sent_again(
-        self, trouble: Trouble, after_s: float, before_s: float, back: bool, day: Day
+        self, trouble: Loss, after_s: float, before_s: float, back: bool, day: Day
     ) -> None:
         """So long after the order, behind a trouble so long before, it is repeated until `Ack` is over."""
         name = f"{trouble.__name__} {after_s} {before_s} {back}"
