Runs of real processes keep their logs where they found a fault

Change: all four soaks of real processes play in a folder that is copied to found/NAME-SEED where a fault was found or the run broke off.

--- a/standin/acknowledged_soak.py
+++ b/standin/acknowledged_soak.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import json
-import tempfile
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -24,6 +23,7 @@
 from standin.agreement import QUIET_S, Agreement, Asked
 from standin.gateway_rig import EDGE, Machine, Rig, plan
 from standin.power_loss import lose_disk, lose_power
+from standin.run_logs import run_folder
 
 DRAIN_S = 2.0  # s, the users' bound, as the settings have it by default
 KNOWN_S = 4.0  # s after a start until a control server knows all machines
@@ -278,7 +278,8 @@
 
 def played(seed: int, rounds: int) -> AcknowledgedSoak:
     """One run, whole."""
-    with tempfile.TemporaryDirectory() as folder:
-        soak = AcknowledgedSoak(seed, rounds, Path(folder))
+    with run_folder(f"acknowledged-{seed}") as folder:
+        soak = AcknowledgedSoak(seed, rounds, folder.path)
         asyncio.run(soak.run())
+        folder.keeps = bool(soak.faults)
         return soak
--- a/standin/connections_processes.py
+++ b/standin/connections_processes.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import signal
-import tempfile
 from pathlib import Path
 
 import aiohttp
@@ -17,6 +16,7 @@
 from standin.connections_drill import ConnectionsDrill
 from standin.gateway_rig import EDGE, MACHINES, SOCK, Machine, Rig, changed_plan
 from standin.processes import Process
+from standin.run_logs import run_folder
 
 START_S = 20.0  # s for the gateway to serve its first request
 END_S = 6.0  # s for a proxy to end after SIGTERM: its grace and more
@@ -107,5 +107,7 @@
 
 def played(seed: int, requests: int) -> ProcessesDrill:
     """One run."""
-    with tempfile.TemporaryDirectory() as folder:
-        return asyncio.run(ProcessesDrill(seed, requests, Path(folder)).play_processes())
+    with run_folder(f"connections-{seed}") as folder:
+        drill = asyncio.run(ProcessesDrill(seed, requests, folder.path).play_processes())
+        folder.keeps = bool(drill.faults)
+        return drill
--- a/standin/departures_soak.py
+++ b/standin/departures_soak.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import tempfile
 from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -19,6 +18,7 @@
 from pinward.common.metrics import PATH
 from standin.departures import OUTLIVE_S, Client, Leave, RecordingMachine, Work
 from standin.gateway_rig import BEAT_S, EDGE, MACHINES, SOCK, UP, Machine, Rig, plan
+from standin.run_logs import run_folder
 
 SLACK_S = 0.15  # s by which records and processes on one busy machine may be late
 HOLDS_MS = (5, 30, 150, 600, 1500)  # how long machines work, drawn
@@ -323,7 +323,8 @@
 
 def played(seed: int, seconds: float) -> Soak:
     """One run, whole."""
-    with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, seconds, Path(folder))
+    with run_folder(f"departures-{seed}") as folder:
+        soak = Soak(seed, seconds, folder.path)
         asyncio.run(soak.run())
+        folder.keeps = bool(soak.faults)
         return soak
--- a/standin/restarts_soak.py
+++ b/standin/restarts_soak.py
@@ -12,7 +12,6 @@
 
 import asyncio
 import signal
-import tempfile
 from collections import Counter
 from dataclasses import dataclass, field
 from math import inf
@@ -26,6 +25,7 @@
 from standin.gateway_rig import EDGE, MACHINES, SOCK, Machine, Rig, changed_plan, has_more
 from standin.leaving import ONCE_MARK, Address, BusyClient, Outcome, Records
 from standin.refusing_machine import RefusingMachine
+from standin.run_logs import run_folder
 
 MACHINES_COUNT = 12
 CLIENTS_BESIDE = 12  # clients of a run, and as many again as a proxy has
@@ -271,7 +271,8 @@
 
 def played(seed: int, seconds: float, proxies: int = 3) -> RestartsSoak:
     """One run, whole."""
-    with tempfile.TemporaryDirectory() as folder:
-        soak = RestartsSoak(seed, seconds, Path(folder), proxies)
+    with run_folder(f"restarts-{seed}") as folder:
+        soak = RestartsSoak(seed, seconds, folder.path, proxies)
         asyncio.run(soak.run())
+        folder.keeps = bool(soak.faults)
         return soak
