Copies wherever and however often they come; a machine back at its address

A request meant for the former life gets 421 there, and is sent to the next life, at the same address, on the same kept connection, under the same id. A copy of the 421 then said that the second send did not run either.

--- a/tests/test_gateway_surplus_answers.py
+++ b/tests/test_gateway_surplus_answers.py
@@ -10,7 +10,7 @@
 
 from multidict import CIMultiDict
 from testtools import TestCase
-from testtools.matchers import Equals, LessThan
+from testtools.matchers import Equals, Is, LessThan
 
 import tests.test_gateway_wire as wire_tests
 from pinward.common.metrics import Metrics
@@ -18,9 +18,9 @@
 from pinward.switchboard.answer_watch import AnswerWatch
 from pinward.switchboard.asked_ids import IDS_MOST, AskedIds
 from pinward.switchboard.departures import OUTLIVE_S
-from pinward.switchboard.verdict import Ending, Verdict
+from pinward.switchboard.verdict import NEVER_RAN, Ending, Verdict
 from pinward.switchboard.wire import Wire
-from standin.copying_machine import CopyingMachine
+from standin.copying_machine import CopyingMachine, When, turns
 from standin.faulty_machine import Act, FaultyMachine, answered, turned_away
 from tests.test_gateway_verdicts import played
 from tests.test_gateway_wire import EDGE
@@ -112,6 +112,46 @@
                     self.assertThat(machine.ran.count("7"), Equals(1), name)
                     self.assertThat((ending.verdict, ending.body[-4:]), Equals((Verdict.RAN, b"of 7")), name)
 
+    def wrong(self, machine: CopyingMachine, ids: list[str]) -> list[str]:
+        """Sends, one after another, that prove more than their machine's record, or get another's answer."""
+
+        async def work() -> list[str]:
+            machine.gate.set()
+            wire, found = Wire(), []
+            url = f"http://127.0.0.1:{await machine.start()}/a"
+            for id_ in ids:
+                ran = len(machine.ran)
+                headers = CIMultiDict({"Host": "h", "X-Try-Id": id_})
+                ending = await wire.send("POST", url, headers, b"x", 0.5, False)
+                for _ in range(3):  # a machine that has sent a copy goes on
+                    await turns()
+                ran = len(machine.ran) - ran
+                own = ending.verdict is not Verdict.RAN or ending.body == b"run %d of %s" % (
+                    len(machine.ran), id_.encode()
+                )  # fmt: skip
+                if (ending.verdict in NEVER_RAN and ran) or not own:
+                    found.append(f"{id_}: {ending.what}, {ending.body!r}, {ran} runs")
+            await wire.close()
+            return found
+
+        return played(work)  # type: ignore[no-any-return]
+
+    def test_no_copy_proves_anything_wherever_and_however_often_it_comes(self) -> None:
+        """At once, while idle, behind one and many other requests, twice, in parts; then the id once more."""
+        for text in (*REFUSALS, answered("7", 200, b"run 0 of 7")):
+            for when, behind in (
+                (When.AT_ONCE, 1), (When.IDLE, 1), (When.LATER, 1), (When.LATER, 2), (When.LATER, 20),
+                (When.SAME_ID, 1),
+            ):  # fmt: skip
+                for times in (1, 2):
+                    for split in (None, 1, len(text) // 2, len(text) - 1):
+                        machine = CopyingMachine([text], when, behind, times, split)
+                        ids = ["7", *(f"other-{n}" for n in range(behind)), "7", "last"]
+                        found = self.wrong(machine, ids)
+                        name = f"{text!r} {when} {behind} {times} {split}"
+                        self.assertThat(found, Equals([]), name)
+                        self.assertThat(machine.copies > 0, Is(when is not When.SAME_ID), name)
+
     def test_a_copy_of_an_answer_is_not_the_answer_to_a_repeat(self) -> None:
         ending, machine = self.repeated([], "787", "GET")
         self.assertThat((ending.body, machine.ran), Equals((b"run 3 of 7", ["7", "8", "7"])))
@@ -190,6 +230,25 @@
 
         self.ask(self.ONCE, work)
 
+    def test_nothing_runs_that_was_refused_as_a_machine_came_back_at_its_address(self) -> None:
+        """Symptom: REFUSED, with no repeat by any client: 421 to the former life, and the request to the next
+        one, went over one connection."""
+
+        async def work() -> tuple[bytes, CopyingMachine]:
+            machine = CopyingMachine([], iid="i2")
+            machine.gate.set()
+            port = await machine.start()
+            board, stop, running = await self.board(port, port)
+            board.lines.machines["i2"].full_until = inf  # the former life is asked first
+            head, writer = await self.sent(self.ONCE, b"200")
+            writer.close()
+            stop.set()
+            await running
+            return head, machine
+
+        _, machine = played(work)
+        self.assertThat((machine.arrived, machine.ran, machine.copies), Equals((2, ["7"], 0)))
+
     def test_a_copy_ends_no_work_of_a_request_that_may_run_again(self) -> None:
         """Symptom: a machine's slot was free to the proxy while it worked, and others were asked besides."""
 
