A session whose pull meets the end of its control server ends

Cause: before Python 3.12 asyncio.wait_for returns what it waited for where that is there as the waiting task is cancelled, so the cancellation is lost. At its end a process cancels all tasks once and waits for them: a session whose pull had just come went on, answered the next pulls, and kept the process alive for as long as its proxy kept the session. The more sessions and the busier the loop, the likelier. Evidence: test of a session cancelled 0 to 7 turns of the loop after a pull: on the code before it goes on at 0 turns, now it ends by the cancellation at each. The class: all eight uses of wait_for in the gateway (sessions at both ends, answers of control servers) are asyncio.timeout now, which also saves a task each.

--- a/pinward/exchange/answers.py
+++ b/pinward/exchange/answers.py
@@ -150,7 +150,8 @@
         reads = call.verb == "GET"
         try:
             handler = getattr(self, call.handler)
-            answer: Answer | None = await asyncio.wait_for(handler(word, said, body), left)
+            async with asyncio.timeout(left):
+                answer: Answer | None = await handler(word, said, body)
         except TimeoutError:
             return None if reads else (503, fault(UNCLEAR))
         if answer is not None and answer[0] < 500 and not self.parts.keeper.leads(self.parts.now()):
@@ -168,7 +169,8 @@
         self.parts.send(primary, {**words, "verb": call.verb, "path": path, "body": body})
         answer: Answer | None = (503, fault(UNCLEAR))
         try:
-            answer = await asyncio.wait_for(future, left)
+            async with asyncio.timeout(left):
+                answer = await future
         except TimeoutError:
             pass
         finally:
@@ -246,7 +248,8 @@
             self.parts.carry()
             recorded = self.unrecorded.setdefault(entry.service, asyncio.Event())
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(recorded.wait(), min(left, ASK_S))
+                async with asyncio.timeout(min(left, ASK_S)):
+                    await recorded.wait()
             self.unrecorded.pop(entry.service, None)
         return True
 
@@ -268,7 +271,8 @@
             if left <= 0:
                 return False
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.parts.turned.wait(), left)
+                async with asyncio.timeout(left):
+                    await self.parts.turned.wait()
         return True
 
     async def durable(self, iid: str) -> bool:
@@ -282,7 +286,8 @@
             if left <= 0:
                 return False
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(held.wait(), left)
+                async with asyncio.timeout(left):
+                    await held.wait()
 
     async def put_plan(self, _: str, said: Any, body: str) -> Answer | None:
         """One body a number: the one in force is acknowledged again, another under its number refused."""
--- a/pinward/exchange/desk.py
+++ b/pinward/exchange/desk.py
@@ -63,7 +63,9 @@
         try:
             while True:
                 try:
-                    message = await asyncio.wait_for(ws.receive(), PULLS_S)
+                    # Not `wait_for`: before Python 3.12 it loses a cancellation that meets a message.
+                    async with asyncio.timeout(PULLS_S):
+                        message = await ws.receive()
                 except TimeoutError:
                     break
                 word = word_of(message)
@@ -146,4 +148,5 @@
                 found["cores"] = self.parts.keeper.members(self.parts.now())
                 return found
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(turned.wait(), left)
+                async with asyncio.timeout(left):
+                    await turned.wait()
--- a/pinward/trunk/session.py
+++ b/pinward/trunk/session.py
@@ -204,7 +204,9 @@
                 "reports": self.reports(),
             }
             await say(ws, pull)
-            news = word_of(await asyncio.wait_for(ws.receive(), NEWS_S))
+            async with asyncio.timeout(NEWS_S):
+                message = await ws.receive()
+            news = word_of(message)
             if news is None:
                 raise ConnectionResetError("the control front ended the session")
             if not self.stands:
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import tempfile
 import time
 from dataclasses import replace
 from unittest import mock
 
+import aiohttp
 import logbook
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, GreaterThan, Is, IsInstance, LessThan, Not, StartsWith
 
 import tests.test_gateway_parts as parts_tests
 import tests.test_gateway_wire as wire_tests
+from pinward.exchange.desk import Desk
 from pinward.exchange.host import HANDED_S, STOP_S, Exchange
 from pinward.exchange.storage import open_state
 from pinward.plan.boot import boot_of
@@ -202,6 +205,57 @@
             self.assertThat(soak.records.counts[Outcome.SERVED.value], GreaterThan(100))
 
 
+class PulledWebSocket:
+    """A proxy's session at a control server: its pulls come when the test says so."""
+
+    def __init__(self) -> None:
+        self.pulls: asyncio.Queue[aiohttp.WSMessage] = asyncio.Queue()
+
+    async def receive(self) -> aiohttp.WSMessage:
+        return await self.pulls.get()
+
+    async def send_str(self, text: str) -> None:
+        """What is sent goes nowhere."""
+
+    def pull(self) -> None:
+        have = {"vector": {}, "partial": False, "plan": 0, "orders": {}, "fresh": False}
+        word = {"t": "pull", "front": "p1", "have": have, "reports": []}
+        self.pulls.put_nowait(aiohttp.WSMessage(aiohttp.WSMsgType.TEXT, json.dumps(word), None))
+
+
+class Sessions(TestCase):
+    """Sessions of proxies as their control server's process ends."""
+
+    STEPS = 8  # turns of the loop between a pull and the end
+
+    async def ended(self, steps: int) -> bool:
+        """True where a session that is cancelled so many turns after its pull came ends by it."""
+
+        async def news(*_: object) -> dict[str, object]:
+            await asyncio.sleep(0)
+            return {}
+
+        desk = Desk(mock.MagicMock(now=lambda: 0.0), lambda *_: None)
+        desk.news = news  # type: ignore[method-assign]
+        desk.encoded = lambda *_: "{}"  # type: ignore[method-assign]
+        ws = PulledWebSocket()
+        session = asyncio.ensure_future(desk.attend(ws))
+        for turns in (2, steps):
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            ws.pull()
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        session.cancel()
+        await asyncio.wait((session,), timeout=0.2)
+        return session.cancelled()
+
+    def test_a_pull_that_comes_as_the_process_ends_keeps_no_session_alive(self) -> None:
+        """Symptom: a control server with many sessions had not ended 6 s after SIGTERM."""
+        for steps in range(self.STEPS):
+            self.assertThat(asyncio.run(self.ended(steps)), Is(True), f"{steps} turns after a pull")
+
+
 class ControlServers(TestCase):
     """A control server that ends, and what is called as it does."""
 
