--- a/standin/convergence.py
+++ b/standin/convergence.py
@@ -34,7 +34,8 @@
 from pinward.exchange.rollouts import Rollouts
 from pinward.trial.order import Order, digest_of
 from pinward.trunk.session import Known
-from standin.exchange_day import BEAT_S, Class, Day, Shape, request
+from standin.day_requests import request
+from standin.exchange_day import BEAT_S, Class, Day, Shape
 from standin.virtual import played
 from standin.works import HOST, Kind, Machine
 
--- a/standin/exchange_day.py
+++ b/standin/exchange_day.py
@@ -12,24 +12,21 @@
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
-from functools import partial
 from pathlib import Path
 from random import Random
-from types import SimpleNamespace
 from typing import Any
 
-from multidict import CIMultiDict
 
 from pinward.directory.entry import Standing
-from pinward.exchange.host import Exchange
 from pinward.exchange.keeper import Kept, View
-from pinward.exchange.storage import Storage
 from pinward.exchange.vault import Vault
 from pinward.plan.boot import Boot, boot_of
 from pinward.switchboard.host import Switchboard
 from pinward.switchboard.wire import DEADLINE, ID
 from pinward.tasks import Tasks
 from pinward.trunk.link import DESK, LINK
+from standin.day_control import BoxStorage, Core
+from standin.day_requests import Transport, request
 from standin.virtual import Dial, Net, Process
 from standin.works import HOST, PREFIX, Bad, Kind, Lines, Machine, Works
 
@@ -109,84 +106,6 @@
         return self.answered is not None and self.status < 500
 
 
-class Body:
-    """A request's body as the hosts read it."""
-
-    def __init__(self, data: bytes) -> None:
-        self.data = data
-
-    async def iter_any(self) -> Any:
-        if self.data:
-            yield self.data
-
-
-class Request(SimpleNamespace):
-    """None of them was begun before its turn."""
-
-    def __contains__(self, key: str) -> bool:
-        return False
-
-    def get(self, key: str) -> None:
-        return None
-
-
-class Transport:
-    """The connection that a request came on."""
-
-    def __init__(self, closing: bool) -> None:
-        self.closing = closing
-
-    def is_closing(self) -> bool:
-        return self.closing
-
-
-def request(
-    method: str, path: str, headers: dict[str, str], data: bytes = b"", transport: Any = None
-) -> Any:  # fmt: skip
-    """What the hosts use of aiohttp's request."""
-
-    async def read() -> bytes:
-        return data
-
-    return Request(
-        method=method, path=path, raw_path=path, headers=CIMultiDict(headers), body_exists=bool(data),
-        content_length=len(data), content=Body(data), transport=transport or SimpleNamespace(), read=read,
-        protocol=None,
-    )  # fmt: skip
-
-
-class BoxStorage(Storage):
-    """A disk that is a box of the day's: bodies by the prefix of their vault."""
-
-    def __init__(self, box: dict[str, bytes], write_s: Callable[[], float], full: Callable[[], bool]) -> None:
-        super().__init__(Vault(Path(".")))
-        self.box, self.write_s, self.full = box, write_s, full
-        for vault in (self.departures, self.hint):
-            vault.read = partial(self.read, vault)  # type: ignore[method-assign]
-
-    def read(self, vault: Vault) -> Any:
-        return json.loads(self.box[vault.prefix]) if vault.prefix in self.box else None
-
-    async def write(self, vault: Vault, body: bytes) -> None:
-        await asyncio.sleep(self.write_s())
-        if self.full():
-            raise OSError("the disk takes no more")
-        self.box[vault.prefix] = body
-
-    async def make_room(self) -> None:
-        self.box.pop(self.hint.prefix, None)
-
-
-class Core(Exchange):
-    """An exchange of the day's, which tells it of faults."""
-
-    faults: list[str]
-
-    def fault(self, task: asyncio.Task[Any], why: BaseException) -> None:
-        super().fault(task, why)
-        self.faults.append(repr(why))
-
-
 class Day:
     def __init__(self, shape: Shape, seed: int) -> None:
         self.shape, self.seed, self.chance = shape, seed, Random(f"day.{seed}")
--- a/standin/operators.py
+++ b/standin/operators.py
@@ -26,7 +26,8 @@
 from pinward.plan.boot import Boot, Bound
 from pinward.trial.order import Order, Stage
 from pinward.trial.tally import Tally
-from standin.exchange_day import CALL_S, START_S, Class, Core, Day, Send, Shape
+from standin.day_control import Core
+from standin.exchange_day import CALL_S, START_S, Class, Day, Send, Shape
 from standin.linearizable import Operation, Register, Rollouts, UndecidedError, linearizable
 from standin.virtual import Dial, Process, played
 from standin.works import Kind
