A planted test of the drawn callers is back, which had taken out by mistake

Cause: rewriting the planted test beside it, cut to the end of the class, and with it test_planted_answers_of_others_and_promises_of_what_ran_are_found.

--- a/tests/test_gateway_verdicts.py
+++ b/tests/test_gateway_verdicts.py
@@ -484,6 +484,13 @@
         with mock.patch.object(AskedIds, "may_hold", lambda self, id_: False):
             self.assertTrue(any(self.drill(seed, 8, sound=True).found for seed in range(12)))
 
+    def test_planted_answers_of_others_and_promises_of_what_ran_are_found(self) -> None:
+        with mock.patch.object(Call, "final", lambda self, status: True):
+            self.assertTrue(any("REFUSED" in one for seed in range(8) for one in self.drill(seed).found))
+        mixes = mock.patch.object(Channel, "asks", lambda self, id_: setattr(self, "asked", True))
+        with mixes, mock.patch.object(Wire, "answers", lambda self, answer, asked: True):
+            self.assertTrue(any("MIXED" in one for seed in range(8) for one in self.drill(seed).found))
+
 
 class Controls(TestCase):
     """Calls of machines and operators that share a connection."""
