What one client's connection makes a process hold, do and log is bounded

Callers saw a process that grew until it was killed. Cause: aiohttp bounds each field of a head, not the head; behind a fault in the parser each further read was a fault again, which kept and logged what had come (C: up to the whole read, repeated as text); what follows an upgrade or CONNECT likewise; requests ahead, bodies under way and answers not read were bounded for each connection, not for all; connections were not bounded at all.

Change: a head goes to the parser once it is whole, up to HdrBytes and 4 KiB; chunked bodies in parts of 1 KiB, what is no body (sizes, extensions, trailers) up to 4 KiB in a row; nothing is read behind a refusal (400, 431), which is logged by figures (event 313). Long heads, bodies and answers draw on a pool of a third of the memory for clients; 503 where it is used up, before anything was sent on. Connections by memory and descriptors: idle ones end for newcomers, then those with many requests ahead behind what was read. A client that takes nothing of its answer for Idle ends. Bodies in chunks keep to BodyMaxBytes. A body that its client does not finish is not held against the machine. At most 20 lines in 5 s of each event that anybody can bring about.

--- a/pinward/annunciator.py
+++ b/pinward/annunciator.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import sys
+from collections import Counter
+from time import monotonic
 from typing import NamedTuple
 
 import logbook
@@ -96,6 +98,10 @@
                "Figures since the start: answers of machines that no request was due, by place; of these the "
                "refusals; ids that came twice on a connection; on what promises that nothing ran rest.",
                "Look at the machine named where idle, misplaced or behind rise."),
+    313: Event("INFO", "clients refused",
+               "Figures since the start: requests that were malformed, had too long a head or found no room; "
+               "connections refused, ended for newcomers, or ended as their clients read nothing.",
+               "Nothing; look for who connects where they rise."),
     320: Event("INFO", "trial vote", "A front votes on a build, with its evidence.", "Nothing."),
     330: Event("INFO", "clients left", "Figures of clients that left before their answers, since the start.",
                "Nothing."),
@@ -116,8 +122,38 @@
     logbook.StreamHandler(sys.stderr, level="INFO", format_string=form).push_application()
 
 
+class LineLimit:
+    """Bounds the lines of events that anybody who connects can bring about: `most` of each in `window_s`."""
+
+    most, window_s = 20, 5.0
+    events = frozenset((110, 211, 212, 221, 222, 225, 310, 311))
+
+    def __init__(self) -> None:
+        self.began: dict[int, float] = {}  # when an event's window began
+        self.lines: Counter[int] = Counter()  # of the window
+        self.left_out: Counter[int] = Counter()  # since the last line
+
+    def admits(self, number: int, now: float) -> bool:
+        """True where the event gets a line at the time `now`."""
+        if number not in self.events:
+            return True
+        if now - self.began.get(number, -self.window_s) >= self.window_s:
+            self.began[number], self.lines[number] = now, 0
+        self.lines[number] += 1
+        admitted = self.lines[number] <= self.most
+        self.left_out[number] += not admitted
+        return admitted
+
+
+LIMIT = LineLimit()
+
+
 def ring(number: int, /, **facts: object) -> None:
-    """Writes event `number` of the table."""
-    event = EVENTS[number]
+    """Writes event `number` of the table, and how many of its lines were left out before."""
+    if not LIMIT.admits(number, monotonic()):
+        return
+    event, left_out = EVENTS[number], LIMIT.left_out.pop(number, 0)
+    if left_out:
+        facts["left_out"] = left_out
     told = " ".join(f"{key}={str(value)[:TEXT_MOST]}" for key, value in facts.items())
     LOG.log(event.level, "{} {} {}", number, event.name, told)
--- a/pinward/common/connection.py
+++ b/pinward/common/connection.py
@@ -18,7 +18,10 @@
 REST_TOLD_MOST_S = 2  # s that a client is told a connection may rest: no longer than a server's leaving takes
 REST_SLACK_S = 0.4  # s beyond the time told: the answer's way to the client, and the next request's way back
 FIRST_S = 1.0  # s that a client has for its first bytes while the server leaves: it connects in order to ask
+UNASKED_S = 1.0  # s that a connection has for its request before it may end for a newcomer
 LINGER_S = 1.0  # s that what still comes is read and dropped: a close with bytes unread resets the answer
+HEAD_BYTES = 16 * 1024  # bytes of a request's head, where the configuration tells nothing
+HEAD_SLACK = 4 * 1024  # bytes beyond the limit of heads: some count the request line, some do not
 IDLE_PART = 0.8  # of the configured idle time: the rest is for requests on their way
 
 
@@ -45,10 +48,16 @@
 
 @dataclass(frozen=True)
 class Limits:
-    """What the configuration allows clients. Seconds."""
+    """What the configuration allows clients. Seconds and bytes."""
 
     idle_s: float  # that a connection may rest, or stay without its first request
     head_s: float  # that a request's head may take
+    head_bytes: int = HEAD_BYTES  # bytes of a request's head
+
+    @property
+    def head_most(self) -> int:
+        """Bytes from which on a head is refused."""
+        return self.head_bytes + HEAD_SLACK
 
     @property
     def rest_told_s(self) -> int:
@@ -138,6 +147,15 @@
         if self.phase is not Phase.CLOSED:
             self.move(now, Phase.CLOSED)
 
+    def may_yield(self, now: float) -> bool:
+        """True where the connection may end because newcomers need its place: no request is on its way."""
+        match self.phase:
+            case Phase.ACCEPTED | Phase.READING:
+                return now - self.since > UNASKED_S
+            case Phase.RESTING:
+                return now > self.rests_until
+        return False
+
     def overdue(self, now: float, limits: Limits, leaving: bool) -> bool:
         """True where the connection may be ended now, and should be.
 
--- a/pinward/common/listener.py
+++ b/pinward/common/listener.py
@@ -12,6 +12,8 @@
 
 from aiohttp.web_server import Server
 
+ACCEPTS = 16  # connections taken in one turn of the loop: each is served or refused in the next
+
 
 class Listener:
     """Takes connections for `server` at an address."""
@@ -26,7 +28,8 @@
         loop = asyncio.get_running_loop()
         self.socket = socket.create_server(self.where, backlog=self.backlog)
         self.socket.setblocking(False)
-        self.accepting = await loop.create_server(self.server, sock=self.socket, backlog=self.backlog)
+        self.accepting = await loop.create_server(self.server, sock=self.socket, backlog=ACCEPTS)
+        self.socket.listen(self.backlog)  # asyncio takes its own `backlog` for both
 
     def waiting(self) -> list[socket.socket]:
         """The connections that the kernel holds for us."""
--- a/pinward/common/metrics_server.py
+++ b/pinward/common/metrics_server.py
@@ -2,19 +2,18 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response
-from aiohttp.web_server import Server
 
 from pinward.annunciator import ring
+from pinward.common.client_room import ClientRoom
 from pinward.common.metrics import CONTENT_TYPE, PATH, Metrics
+from pinward.common.small_listener import SmallListener
 
 PORT = 9464  # where exporters of Prometheus listen by custom; deploy/system.toml names it too
 
 
-async def listen(metrics: Metrics, ip: str) -> asyncio.Server | None:
+async def listen(metrics: Metrics, ip: str, room: ClientRoom | None = None) -> SmallListener | None:
     """Serves the figures at `ip`; None where the port cannot be had, which ends nothing else."""
 
     async def answer(request: BaseRequest) -> Response:
@@ -22,9 +21,10 @@
             return Response(status=404)
         return Response(text=metrics.render(), content_type=CONTENT_TYPE)
 
-    loop = asyncio.get_running_loop()
+    listener = SmallListener(answer, (ip, PORT), room or ClientRoom())
     try:
-        return await loop.create_server(Server(answer, access_log=None), ip, PORT)
+        await listener.open()
     except OSError as why:
         ring(105, port=PORT, why=why)
         return None
+    return listener
--- a/pinward/common/server.py
+++ b/pinward/common/server.py
@@ -15,12 +15,18 @@
 
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
-from aiohttp.web_response import StreamResponse
+from aiohttp.web_response import Response, StreamResponse
 from aiohttp.web_server import Server
 
+from pinward.annunciator import ring
+from pinward.common.capacity import READ_MOST, SMALL, WRITE_MOST
+from pinward.common.client_room import ClientRoom
 from pinward.common.connection import LINGER_S, Connection, Limits, Phase
+from pinward.common.reading import BoundedReading, refusal_of
 
 DRAIN_STEP_S = 0.02  # s between looks at connections while the server leaves
+AHEAD_GREEDY = 8  # requests that wait on a connection, beyond which it ends where newcomers need its place
+ROOM_STEP_S = 0.1  # s between two searches for connections that may end for newcomers
 
 TCP_ENDED = (7, 8, 9)  # Linux: closed, close-wait (the peer has ended its side), last-ack
 
@@ -39,20 +45,48 @@
     return bool(state) and state[0] in TCP_ENDED
 
 
-class ClientConnection(RequestHandler):
+class Output:
+    """What waits to be sent on a connection, and since when its client has taken nothing of it."""
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.waiting, self.since = 0, -inf
+
+    def stalled_s(self, now: float) -> float:
+        """Seconds for which nothing was taken, though something waits."""
+        waiting = self.transport.get_write_buffer_size()
+        if waiting != self.waiting or not waiting:
+            self.waiting, self.since = waiting, now
+        return now - self.since
+
+
+class ClientConnection(BoundedReading):
     """One client's connection; `life` decides when it ends.
 
     The client has left once its side of the connection has ended. TCP tells no difference between a close and
     a half-close, so a client that sends no more counts as one that left.
     """
 
-    __slots__ = ("life", "departed_at", "departure_callbacks")
+    __slots__ = ("life", "departed_at", "departure_callbacks", "output", "yields")
 
     def __init__(self, server: ClientServer, **more: Any) -> None:
         super().__init__(server, **more)
         self.life = Connection(self._loop.time())
         self.departed_at: float | None = None  # when the client left
         self.departure_callbacks: set[Callable[[], None]] = set()
+        self.output: Output | None = None  # none before the connection stands
+        self.yields = False  # it ends because newcomers need its place
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        server = self._manager
+        if isinstance(server, ClientServer) and not server.admits(self._loop.time()):
+            transport.abort()  # before aiohttp begins to wait for requests
+            return
+        transport.set_write_buffer_limits(WRITE_MOST)
+        self.output = Output(transport)
+        super().connection_made(transport)
+        self.read_at_a_time(READ_MOST)
 
     def watch_departure(self, callback: Callable[[], None]) -> None:
         """`callback` is called as the client leaves, or at once where it has left."""
@@ -94,6 +128,29 @@
         elif self.departed_at is not None and now > self.departed_at + LINGER_S:
             self.transport.abort()  # a half-closed one whose client does not read would stay for ever
 
+    def abort(self) -> None:
+        """Ends the connection at once, whatever waits to be written."""
+        if self.output is not None:
+            self.output.transport.abort()
+
+    def end_if_greedy(self) -> None:
+        """Ends the connection behind what was read, where many requests wait behind one another."""
+        if self.life.unanswered > AHEAD_GREEDY:
+            self.yields = True
+            self.stop()
+            self.life.limit_answers()
+
+    def end_stuck(self, now: float, limits: Limits) -> bool:
+        """Ends a connection whose client takes no answer; True where it did."""
+        if self.output is None or self.output.transport.is_closing() and not self.output.waiting:
+            return False
+        most_s = LINGER_S if self.yields or self.output.transport.is_closing() else limits.idle_s
+        if self.output.stalled_s(now) <= max(LINGER_S, most_s):
+            return False
+        self.depart()
+        self.abort()
+        return True
+
     def eof_received(self) -> None:
         self.depart()
         super().eof_received()
@@ -102,10 +159,27 @@
         if self.life.drops:
             return
         before = self._request_count
-        super().data_received(data)
+        server = self._manager
+        if isinstance(server, ClientServer):
+            self.read_bounded(data, server.limits(), server.room.held)
         requests = self._request_count - before
         if data or requests:  # without data aiohttp goes on with what it held back
             self.life.received(self._loop.time(), requests)
+        if self.stopped:
+            self.life.limit_answers()
+
+    def handle_error(
+        self,
+        request: BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> StreamResponse:
+        """The answer where a handler failed. Nothing that a client sent is told or logged."""
+        ring(110, why=repr(exc))
+        response = Response(status=status)
+        response.force_close()
+        return response
 
     def announce(self, response: StreamResponse) -> None:
         """Writes into an answer's head how long the connection may rest, or that it ends."""
@@ -125,6 +199,7 @@
         done = await super().finish_response(request, resp, start_time)
         server = self._manager
         if isinstance(server, ClientServer):
+            self.give_back(resp, server.room.held)
             self.life.answered(self._loop.time(), server.limits())
         if self.life.phase is Phase.CLOSING and self.transport is not None and self.transport.can_write_eof():
             self.transport.write_eof()  # what still comes is read and dropped until the client ends too
@@ -133,6 +208,9 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         self.life.gone(self._loop.time())
         self.depart()
+        server = self._manager
+        if isinstance(server, ClientServer):
+            self.forget(server.room.held)
         super().connection_lost(exc)
 
     def _process_keepalive(self) -> None:
@@ -147,27 +225,80 @@
 
     connection_type: type[ClientConnection] = ClientConnection
 
-    def __init__(self, answer: Answering, limits: Callable[[], Limits], **more: Any) -> None:
+    def __init__(
+        self,
+        answer: Answering,
+        limits: Callable[[], Limits],
+        room: ClientRoom | None = None,
+        small: bool = False,
+        **more: Any,
+    ) -> None:
+        """`small`: for the platform alone, which needs few connections."""
         super().__init__(self.in_turn, access_log=None, **more)
         self.answer, self.limits = answer, limits
+        self.room, self.small = room or ClientRoom(), small
+        self.searched_at = -inf  # loop's time of the last search for connections that may end
         self.leaving = False
         self.settles_at = inf  # loop's time from which on connections carry nothing but what was read
         self.overdue: dict[RequestHandler, float] = {}  # at the last look, by their phase's begin
         self.connected_at = -inf  # loop's time of the last new connection
 
     def __call__(self) -> RequestHandler:
-        return self.connection_type(self, loop=self._loop, **self._kwargs)
+        most = self.limits().head_most
+        bounds = {
+            "max_line_size": most, "max_field_size": most, "max_headers": most,
+            "read_bufsize": READ_MOST, "lingering_time": LINGER_S,
+        }  # fmt: skip
+        return self.connection_type(self, loop=self._loop, **{**bounds, **self._kwargs})
+
+    @property
+    def most(self) -> int:
+        """Connections that are taken at a time."""
+        return SMALL if self.small else self.room.capacity.connections(self.limits().head_bytes)
 
     def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
         self.connected_at = asyncio.get_running_loop().time()
         super().connection_made(handler, transport)
 
+    def admits(self, now: float) -> bool:
+        """True where there is a place for a newcomer."""
+        admitted = len(self.connections) < self.most or self.make_room(now)
+        if not admitted:
+            self.room.refusals.crowded.add()
+        return admitted
+
+    def make_room(self, now: float) -> bool:
+        """Ends connections on which no request is due; False where there are none.
+
+        Where there are none, those that have sent many requests ahead end behind what was read of them.
+        """
+        if now < self.searched_at + ROOM_STEP_S:
+            return False
+        self.searched_at = now
+        all_ = [c for c in self.connections if isinstance(c, ClientConnection)]
+        idle = [connection for connection in all_ if connection.life.may_yield(now)]
+        for connection in idle:
+            connection.abort()
+        if not idle:
+            for connection in all_:
+                connection.end_if_greedy()
+        self.room.refusals.evicted.add(len(idle))
+        return bool(idle)
+
     async def in_turn(self, request: BaseRequest) -> StreamResponse:
         """The answer to the request whose turn it is."""
-        response = await self.answer(request)
+        refusal = refusal_of(request)
+        if refusal is None:
+            response = await self.answer_to(request)
+        else:
+            response = self.room.refusals.answer(refusal)
         announce(request, response)
         return response
 
+    async def answer_to(self, request: BaseRequest) -> StreamResponse:
+        """The answer to a request that was read."""
+        return await self.answer(request)
+
     def lives(self) -> list[Connection]:
         """The connections that are not gone."""
         return [c.life for c in self.connections if isinstance(c, ClientConnection) and not c.life.done]
@@ -181,9 +312,11 @@
         self.settle(now)
         limits, left = self.limits(), 0
         overdue: dict[RequestHandler, float] = {}
-        for connection in self.connections:
+        for connection in list(self.connections):
             assert isinstance(connection, ClientConnection)
             connection.end_departed(now)
+            if connection.end_stuck(now, limits):
+                self.room.refusals.stalled.add()
             life = connection.life
             if not life.overdue(now, limits, self.leaving):
                 left += 1
@@ -193,6 +326,7 @@
                 overdue[connection] = life.since
                 left += 1
         self.overdue = overdue
+        self.room.refusals.log.tell(now)
         return left
 
     def leave(self, settles_at: float) -> None:
--- a/pinward/switchboard/forwarding.py
+++ b/pinward/switchboard/forwarding.py
@@ -6,19 +6,24 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
 from functools import partial
 from math import inf
 from random import Random
 from typing import Any
 
+from aiohttp.web_protocol import RequestPayloadError
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
 from multidict import CIMultiDict
 
 from pinward.annunciator import ring
+from pinward.common.capacity import FREE
+from pinward.common.client_room import ClientRoom
 from pinward.common.figure_log import FigureLog
+from pinward.common.held_bytes import Reservation
 from pinward.common.metrics import Metrics
+from pinward.common.reading import HELD
+from pinward.common.refusals import RefusedError, Refusal
 from pinward.common.server import ClientConnection
 from pinward.plan.boot import Boot
 from pinward.switchboard.answer_watch import AnswerWatch
@@ -28,24 +33,23 @@
 from pinward.switchboard.leaving import LeaveSchedule
 from pinward.switchboard.lines import Lines
 from pinward.switchboard.pipelining import READ_AT, ahead
+from pinward.switchboard.request_body import Body, BodyTooLongError, StreamedBody, read_body
 from pinward.switchboard.splits import SplitSequence
 from pinward.switchboard.stream import Outlet, Sink
-from pinward.switchboard.verdict import BROKEN, PROMISES, End, Ending, ended
+from pinward.switchboard.verdict import BROKEN, PROMISES, End, Ending, Verdict, ended
 from pinward.switchboard.wire import DEADLINE, WANT, Wire, passed_on
 from pinward.tally.tries import Tries
 from pinward.tasks import Tasks
 from pinward.trial.front import Trial
 from pinward.trunk.session import Known
 
-HELD_MOST = 256 * 1024  # bytes of a request's body held whole, so that it can be sent again
+DIGITS_MOST = 12  # of a deadline in milliseconds
 DEADLINE_S = 30.0  # s a client waits that does not say how long
 UNKNOWN_S = 0.3  # s after which a client is told to come back to a front that knows no configuration yet
+AHEAD_PART = 0.5  # of the requests that may be under way, from which on none is begun before its turn
 CHECK_S = 0.05  # s beyond the bound after which work that outlived its client is counted
 SERVICES_SPARE = 64  # services of former configurations whose budget is remembered
 
-Body = bytes | AsyncIterator[bytes]
-
-
 def own_answer(status: int, retry_after_s: float | None = None) -> Response:
     """An answer of the proxy itself."""
     response = Response(status=status)
@@ -61,26 +65,6 @@
     return response
 
 
-async def read_body(request: BaseRequest) -> tuple[Body, bool]:
-    """A request's body whole; or, where it is long, what has come and the rest as it comes, and True."""
-    parts, size = [], 0
-    async for part in request.content.iter_any():
-        parts.append(part)
-        size += len(part)
-        if size > HELD_MOST:
-            break
-    first = b"".join(parts)
-    if size <= HELD_MOST:
-        return first, False
-
-    async def rest() -> AsyncIterator[bytes]:
-        yield first
-        async for part in request.content.iter_any():
-            yield part
-
-    return rest(), True
-
-
 class Forwarder:
     """What the requests of one proxy share."""
 
@@ -88,6 +72,7 @@
         self, boot: Boot, known: Known, lines: Lines, trials: dict[str, Trial], chance: Random
     ) -> None:  # fmt: skip
         self.boot, self.known, self.lines, self.trials = boot, known, lines, trials
+        self.room = ClientRoom()
         self.splits = SplitSequence(chance)
         self.wire: Wire | None = None
         self.tries: dict[str, Tries] = {}  # the retry budget of each service
@@ -165,11 +150,15 @@
     def may_begin_ahead(self, message: Any) -> bool:
         """True where a request may be begun before its turn: its route lets it run again."""
         plan = self.known.plan
-        if plan is None:
+        if plan is None or self.crowded(AHEAD_PART):
             return False
         route = plan.route(message.headers.get("Host", ""), message.path.partition("?")[0])
         return route is not None and route.repeatable
 
+    def crowded(self, part: float = 1.0) -> bool:
+        """True where that part of the requests that may be under way to machines at a time are."""
+        return len(self.sends.running) >= part * self.room.capacity.sends
+
     async def on_request(self, request: BaseRequest) -> StreamResponse:
         """The answer to a client's request."""
         self.open += 1
@@ -199,11 +188,15 @@
         route = plan.route(headers.get("Host", ""), raw.partition("?")[0])
         if route is None:
             return own_answer(404)
+        if self.crowded():
+            return own_answer(503, UNKNOWN_S)
         allow = headers.get(DEADLINE, "")
-        allow_s = int(allow) / 1000 if allow.isdecimal() else DEADLINE_S
+        told = allow.isdecimal() and len(allow) <= DIGITS_MOST
+        allow_s = int(allow) / 1000 if told else DEADLINE_S
         if headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         body: Body = b""
+        held = self.room.reservation(FREE)
         service = route.split[0][0] if len(route.split) == 1 else route.service(self.splits.next(route.name))
         call = Call(route, service, now, allow_s)
         if request.body_exists:
@@ -211,17 +204,33 @@
                 return last_answer(413)
             try:
                 async with asyncio.timeout(call.until - now):
-                    body, call.streams = await read_body(request)
+                    body = await read_body(request.content, plan.body_bytes, held)
             except TimeoutError:
                 return last_answer(408)  # nothing was sent on; a body that never ends held its place for ever
-        return await ForwardedRequest(self, request, call, body).answered()
+            except BodyTooLongError:
+                return last_answer(413)
+            except RefusedError as why:
+                return self.refused(why.refusal)
+            except RequestPayloadError:
+                return self.refused(Refusal.MALFORMED)
+            call.streams = isinstance(body, StreamedBody)
+        return await ForwardedRequest(self, request, call, body, held).answered()
+
+    def refused(self, refusal: Refusal) -> Response:
+        """The answer where a body cannot be read on; nothing was sent on."""
+        response = self.room.refusals.answer(refusal)
+        response.force_close()
+        return response
 
 
 class ForwardedRequest:
     """One client's request, from the time it was read to the end of its last send."""
 
-    def __init__(self, shared: Forwarder, request: BaseRequest, call: Call, body: Body) -> None:
-        self.shared, self.request, self.call, self.body = shared, request, call, body
+    def __init__(
+        self, shared: Forwarder, request: BaseRequest, call: Call, body: Body, held: Reservation
+    ) -> None:  # fmt: skip
+        """`held`: of the room for clients, what the body takes."""
+        self.shared, self.request, self.call, self.body, self.held = shared, request, call, body, held
         self.budget = shared.budget(call.service)
         self.sink = Sink(request, not ahead(request))
         self.headers = passed_on(request.headers)
@@ -274,6 +283,12 @@
         finally:
             self.shared.calls.discard(self.call)
             self.unwatch()
+            self.release_body()
+
+    def release_body(self) -> None:
+        """Gives the body's room back once it is sent no more."""
+        if not self.sends and self.call not in self.shared.calls:
+            self.held.release()
 
     async def until_answered(self) -> StreamResponse:
         """Sends and waits as the call says, until it has its answer."""
@@ -307,6 +322,7 @@
         ending = task.result() if whole else ended(End.ABANDONED)
         del self.sends[step]
         self.unwatch()
+        self.release_body()
         self.call.ended(self.shared.now(), self.shared.lines, step, ending, trial)
         if ending.what in (End.ANOTHERS, End.SPOILT, End.CUT):
             ring(310, iid=step.machine.entry.iid, what=ending.what)
@@ -322,8 +338,12 @@
         fresh = shared.now() < step.machine.shaky_until and method not in ("GET", "HEAD")
         fresh = fresh or ID not in headers  # by what else could its answer be known
         assert shared.wire is not None
-        outlet = Outlet(self.sink, call.final, lambda: call.passes_on(step))
-        return await shared.wire.send(method, url, headers, self.body, step.allow_s, fresh, outlet)
+        held = shared.room.reservation(FREE)
+        outlet = Outlet(self.sink, call.final, lambda: call.passes_on(step), held)
+        ending = await shared.wire.send(method, url, headers, self.body, step.allow_s, fresh, outlet)
+        if isinstance(self.body, StreamedBody) and self.body.waits and ending.verdict is Verdict.MAY_HAVE_RUN:
+            return ended(End.CLIENT)
+        return ending
 
     async def reply(self, reply: Reply) -> StreamResponse:
         """The answer that goes to the client."""
@@ -331,9 +351,13 @@
         if sink.opened:
             return await sink.end(reply.ending is not None and reply.ending.streamed)
         sink.shut()
+        if isinstance(self.body, StreamedBody) and self.body.too_long:
+            return last_answer(413)
         if reply.ending is None:
             if reply.status in PROMISES:
                 self.shared.answers.promised(self.call.last)
             return own_answer(reply.status, reply.back_s)
         headers = CIMultiDict((key, value) for key, value in reply.ending.headers if key != NOT_RUN)
-        return Response(status=reply.status, body=reply.ending.body, headers=headers)
+        response = Response(status=reply.status, body=reply.ending.body, headers=headers)
+        response[HELD] = reply.ending.held
+        return response
--- a/pinward/switchboard/host.py
+++ b/pinward/switchboard/host.py
@@ -12,12 +12,14 @@
 
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response
-from aiohttp.web_server import Server
 
 from pinward.annunciator import ring
 from pinward.common import metrics, metrics_server
+from pinward.common.capacity import Capacity
+from pinward.common.client_room import ClientRoom
 from pinward.common.connection import Limits, Phase
 from pinward.common.listener import Listener
+from pinward.common.small_listener import SmallListener
 from pinward.plan.boot import Boot, Watched
 from pinward.switchboard.forwarding import Forwarder
 from pinward.switchboard.leaving import LeaveSchedule
@@ -34,9 +36,7 @@
 BLIND_S = 4.0  # s until a front that finds no control front with a primary serves by what it knows
 QUIET_S = 0.3  # s without a new connection after which no client is taken to be connecting
 LEAVE_STEP_S = 0.02  # s between looks at the clients' connections while the process leaves
-HEAD_MOST = 16384  # bytes of a request's first line and of each of its headers
 IDLE_S = 15.0  # s that a client's connection may be idle, where the configuration tells nothing
-LINGER_S = 1.0  # s that the rest of a refused body is read, so that its client sees the answer
 LISTEN = 1024  # connections that wait to be taken
 
 
@@ -49,6 +49,8 @@
         self.trials: dict[str, Trial] = {}
         self.session = Session(boot, self.known, self.life, self.reports, self.changed)
         self.forwarder = Forwarder(boot, self.known, self.lines, self.trials, self.chance)
+        self.room = ClientRoom(Capacity(boot.memory_mb, boot.descriptors), self.forwarder.metrics)
+        self.forwarder.room = self.room
         self.on_request = self.forwarder.on_request
         self.ready = self.leaving = False
         self.known_once = asyncio.Event()
@@ -118,7 +120,9 @@
     def limits(self) -> Limits:
         """What the configuration in force allows clients' connections."""
         plan = self.known.plan
-        return Limits(plan.idle_s, plan.head_s) if plan is not None else Limits(IDLE_S, IDLE_S)
+        if plan is None:
+            return Limits(IDLE_S, IDLE_S)
+        return Limits(plan.idle_s, plan.head_s, plan.head_bytes)
 
     async def on_ready(self, request: BaseRequest) -> Response:
         """Whether clients should come, asked by the platform; under `/metrics` the process's figures."""
@@ -131,7 +135,8 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop`, then ends within the grace: what was read is finished first."""
         dialler = Dialler()
-        tasks = self.begin(Wire(self.forwarder.answers), dialler)
+        wire = Wire(self.forwarder.answers, self.room.capacity.sends)
+        tasks = self.begin(wire, dialler)
         try:
             await self.listen(stop)
         finally:
@@ -146,19 +151,16 @@
         return [asyncio.ensure_future(self.session.run(dialler)), asyncio.ensure_future(self.step())]
 
     async def listen(self, stop: asyncio.Event) -> None:
-        loop = asyncio.get_running_loop()
         server = self.server = PipeliningServer(
             self.on_request,
             self.limits,
             self.forwarder.may_begin_ahead,
-            max_line_size=HEAD_MOST,
-            max_field_size=HEAD_MOST,
-            lingering_time=LINGER_S,
+            room=self.room,
             auto_decompress=False,
         )
-        host, port = self.boot.bind["Up"]
-        up = await loop.create_server(Server(self.on_ready, access_log=None), host, port)
-        figures = await metrics_server.listen(self.forwarder.metrics, self.boot.ip)
+        up = SmallListener(self.on_ready, self.boot.bind["Up"], self.room)
+        await up.open()
+        figures = await metrics_server.listen(self.forwarder.metrics, self.boot.ip, self.room)
         host, port = self.boot.bind["Edge"]
         listener = Listener(server, (host, port), LISTEN)
         ring(100, edge=f"{host}:{port}")
--- a/pinward/switchboard/kept.py
+++ b/pinward/switchboard/kept.py
@@ -14,6 +14,7 @@
 from contextlib import suppress
 from contextvars import ContextVar
 from functools import partial
+from math import inf
 from time import monotonic
 from typing import Any, cast
 
@@ -137,10 +138,11 @@
 class Channels(aiohttp.TCPConnector):
     """The pool of connections to machines; with `kept` false each send has one of its own."""
 
-    def __init__(self, kept: bool, watch: AnswerWatch) -> None:
+    def __init__(self, kept: bool, watch: AnswerWatch, idle_most: float = inf) -> None:
+        """`idle_most`: connections that are kept without a request."""
         more: dict[str, Any] = {"keepalive_timeout": REST_S} if kept else {"force_close": True}
         super().__init__(limit=0, use_dns_cache=False, **more)
-        self.watch = watch
+        self.watch, self.idle_most = watch, idle_most
         self._factory = cast("partial[ResponseHandler]", partial(Channel, loop=self._loop, watch=watch))
 
     async def connect(self, req: ClientRequest, traces: Any, timeout: aiohttp.ClientTimeout) -> Connection:
@@ -187,9 +189,15 @@
             connection.release()
             channel.since = since  # it rests since it was last used
 
+    @property
+    def idle(self) -> int:
+        """Connections that are kept without a request."""
+        return sum(map(len, self._conns.values()))
+
     def _release(self, key: ConnectionKey, protocol: ResponseHandler, *, should_close: bool = False) -> None:
         if isinstance(protocol, Channel):
             if protocol.broken_off:
                 protocol.reset()
             protocol.rests()
+        should_close = should_close or self.idle >= self.idle_most
         super()._release(key, protocol, should_close=should_close)
--- a/pinward/switchboard/lines.py
+++ b/pinward/switchboard/lines.py
@@ -180,6 +180,8 @@
         if ending.what == End.ABANDONED:
             self.abandoned(now, machine, took)
             return
+        if ending.what == End.CLIENT:
+            return  # it tells nothing of the machine
         if ending.load is not None:
             running, waiting, _ = ending.load
             machine.told, machine.told_at, machine.told_open = running + waiting, now, machine.open
--- a/pinward/switchboard/pipelining.py
+++ b/pinward/switchboard/pipelining.py
@@ -20,7 +20,7 @@
 from aiohttp.web_response import StreamResponse
 
 from pinward.common.connection import Limits
-from pinward.common.server import Answering, ClientConnection, ClientServer, announce
+from pinward.common.server import Answering, ClientConnection, ClientServer
 
 AHEAD_MOST = 8  # requests of one connection that are put through at a time, the first not counted
 AHEAD = "ahead"  # mark of a request that was begun before its turn
@@ -91,13 +91,11 @@
         super().__init__(answer, limits, **more)
         self.able = able
 
-    async def in_turn(self, request: BaseRequest) -> StreamResponse:
-        """The answer to the request whose turn it is."""
+    async def answer_to(self, request: BaseRequest) -> StreamResponse:
+        """The answer to a request, which may have been begun as it was read."""
         connection = request.protocol
         begun = connection.taken(request) if isinstance(connection, PipelinedConnection) else None
-        response = await (begun if begun is not None else self.answer(request))
-        announce(request, response)
-        return response
+        return await (begun if begun is not None else self.answer(request))
 
 
 def ahead(request: BaseRequest) -> bool:
--- a/pinward/switchboard/stream.py
+++ b/pinward/switchboard/stream.py
@@ -8,16 +8,20 @@
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import StreamResponse
 
+from pinward.common.held_bytes import Reservation
 from pinward.common.server import announce
 
 
 class Outlet:
     """One send's way into a request's sink, for a status that is `final`; `opens` is told once its answer
-    begins to be passed on.
+    begins to be passed on. `held`: the room for what of the answer is not passed on yet.
     """
 
-    def __init__(self, sink: Sink, final: Callable[[int], bool], opens: Callable[[], None]) -> None:
+    def __init__(
+        self, sink: Sink, final: Callable[[int], bool], opens: Callable[[], None], held: Reservation
+    ) -> None:  # fmt: skip
         self.sink, self.final, self.opens, self.write = sink, final, opens, sink.write
+        self.held = held
 
     async def open(self, status: int, headers: Any, length: int | None) -> bool:
         if not self.sink.free or not self.final(status):
--- a/pinward/switchboard/verdict.py
+++ b/pinward/switchboard/verdict.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, StrEnum, auto
 
+from pinward.common.held_bytes import Reservation
 
 class Verdict(Enum):
     """Of one send. Only the first two prove that nothing ran."""
@@ -29,6 +30,7 @@
     CUT = "cut"  # the head of this request's answer came, its body not whole
     TOO_LONG = "too long"  # its body is longer than what may be held
     SILENT = "silent"  # the time was over
+    CLIENT = "its client's body did not come"  # and so the machine had no whole request
     ABANDONED = "ended with its front"  # the send was given up
     TURNED_AWAY = "turned away"  # with this request's id: 421, or a failure with `X-Not-Run`
     ANSWER = "answer"  # whole, with this request's id
@@ -67,6 +69,7 @@
         End.CUT: (X, M, M, M, M),
         End.TOO_LONG: (X, M, M, M, M),
         End.SILENT: (N, M, M, M, M),
+        End.CLIENT: (X, M, M, M, M),
         End.ABANDONED: (N, M, M, M, M),
         End.TURNED_AWAY: (X, T, T, T, T),
         End.ANSWER: (X, R, R, R, R),
@@ -105,6 +108,7 @@
     body: bytes = b""
     load: tuple[int, int, int] | None = None  # running, waiting, slots
     streamed: bool = False  # its body was passed on as it came
+    held: Reservation | None = None  # of the room for clients, what its body takes
 
 
 def ended(end: End, sent: Sent = Sent.WHOLE, status: int = 0, **more: object) -> Ending:
--- a/pinward/switchboard/wire.py
+++ b/pinward/switchboard/wire.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
 from math import inf
 from typing import Any
 
@@ -20,6 +19,7 @@
 from pinward.common.metrics import Metrics
 from pinward.switchboard.answer_watch import AnswerWatch
 from pinward.switchboard.kept import ID, NOT_RUN, Channels, NothingSentError
+from pinward.switchboard.request_body import Body
 from pinward.switchboard.stream import Outlet
 from pinward.switchboard.verdict import End, Ending, Sent, ended
 
@@ -29,6 +29,7 @@
 CONNECT_PART = 0.9  # of a send's time for its connection: what did not come up by then was not sent
 REST_OF_TURNED_S = 0.05  # s that a turned-away answer's body is waited for: its connection can be kept
 HELD_MOST = 256 * 1024  # bytes of an answer held, so that it is whole before it is passed on
+COPIES = 2  # of an answer: the one held, and the one that is written to the client
 BODY_MOST = 8 * 2**20  # bytes of one that cannot be passed on yet: it was asked for ahead
 AUTO = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 HOP = frozenset(
@@ -40,10 +41,10 @@
 DEADLINE, WANT, STAMP, LOAD = "X-Deadline-Ms", "X-Want-Machine", "X-Stamp", "X-Load"
 
 
-def client(kept: bool, watch: AnswerWatch) -> aiohttp.ClientSession:
+def client(kept: bool, watch: AnswerWatch, idle_most: float) -> aiohttp.ClientSession:
     """A session whose connections are kept, or one with a connection of its own for each send."""
     made = aiohttp.ClientSession(
-        connector=Channels(kept, watch), cookie_jar=aiohttp.DummyCookieJar(), trust_env=False,
+        connector=Channels(kept, watch, idle_most), cookie_jar=aiohttp.DummyCookieJar(), trust_env=False,
         auto_decompress=False, skip_auto_headers=AUTO,
     )  # fmt: skip
     made._retry_connection = False  # it would send again what may have run
@@ -82,19 +83,23 @@
 class Wire:
     """Sends to machines."""
 
-    def __init__(self, watch: AnswerWatch | None = None) -> None:
+    def __init__(self, watch: AnswerWatch | None = None, idle_most: float = inf) -> None:
+        """`idle_most`: connections that are kept without a request."""
         watch = watch or AnswerWatch(Metrics())
-        self.kept, self.single = client(True, watch), client(False, watch)
+        self.kept, self.single = client(True, watch, idle_most), client(False, watch, 0)
 
     async def close(self) -> None:
         await self.kept.close()
         await self.single.close()
 
     async def send(
-        self, method: str, url: str, headers: CIMultiDict[str], body: bytes | AsyncIterator[bytes] | None,
+        self, method: str, url: str, headers: CIMultiDict[str], body: Body | None,
         allow_s: float, fresh: bool, sink: Outlet | None = None,
     ) -> Ending:  # fmt: skip
-        """One request to one machine; never raises but on cancellation. A long answer goes into `sink`."""
+        """One request to one machine; never raises but on cancellation.
+
+        A long answer goes into `sink`, as does one for which there is no room.
+        """
         session = self.single if fresh else self.kept
         asked, until = headers.get(ID), asyncio.get_running_loop().time() + allow_s
         try:
@@ -134,21 +139,23 @@
             answer.close()
             return ended(End.ANOTHERS)
         parts: list[bytes] = []
-        size = 0
+        size, held = 0, sink.held if sink is not None else None
         async for part in answer.content.iter_any():
             size += len(part)
             parts.append(part)
-            if size > HELD_MOST and sink is not None:
+            room = held is None or held.grow(COPIES * len(part))
+            if (size > HELD_MOST or not room) and sink is not None:
                 # Symptom: while its client did not read, a send's time was not looked at, and it had no end.
                 async with asyncio.timeout_at(until):
                     if await sink.open(status, kept, answer.content_length):
                         return await self.pass_on(answer, parts, sink, load)
                 sink = None  # not its turn: held on
-            if size > BODY_MOST:
+            if size > BODY_MOST or not room:
                 answer.close()
                 return ended(End.TOO_LONG)
         body = b"".join(parts)
-        return ended(End.ANSWER, status=status, headers=list(kept.items()), body=body, load=load)
+        headers = list(kept.items())
+        return ended(End.ANSWER, status=status, headers=headers, body=body, load=load, held=held)
 
     @staticmethod
     async def pass_on(
