--- a/pinward/exchange/answers.py
+++ b/pinward/exchange/answers.py
@@ -14,9 +14,13 @@
 from aiohttp.web_response import Response
 
 from pinward.annunciator import ring
+from pinward.common.capacity import FREE
+from pinward.common.client_room import ClientRoom
+from pinward.common.reading import HELD
 from pinward.directory.entry import Entry, Standing
 from pinward.directory.sanctioned import base_of, earlier
 from pinward.exchange.base_versions import RECORDS_MOST
+from pinward.exchange.call_body import CallRefusedError, read_call
 from pinward.exchange.calls import Call, checked, entry_of, find, signed
 from pinward.exchange.forward import Fate, Incoming, Outgoing
 from pinward.exchange.order_ages import OrderAges, Sent
@@ -32,6 +36,9 @@
 SOON_S = 0.01  # s between looks at a write that is under way
 PAST_MOST = 16  # orders of a service remembered: each must end before the next, so few fit into `Ack`
 
+REASON_MOST = 2000  # characters of a reason that a caller is told
+COPIES = 2  # of an answer: its text, and the bytes that are written
+
 UNDONE = "nothing was done: no primary answers"
 UNCLEAR = "whether it was done is not known: send it again unchanged"
 
@@ -39,11 +46,16 @@
 
 
 def fault(reason: str) -> str:
-    return json.dumps({"Err": reason})
+    return json.dumps({"Err": reason[:REASON_MOST]})
 
 
 class Answers:
-    """A handler's answer is None where nothing was done, so that the call may be tried again."""
+    """A handler's answer is None where nothing was done, so that the call may be tried again.
+
+    `room`: the room for callers of the process.
+    """
+
+    room = ClientRoom()
 
     def __init__(self, parts: Parts, record_first: Callable[[Entry], None], ages: OrderAges) -> None:
         """`record_first` has the version of a service's first machine recorded."""
@@ -90,11 +102,10 @@
         if isinstance(found, int):
             return Response(status=found, text=fault("no such call"), content_type="application/json")
         call, word = found
-        if (request.content_length or 0) > call.body_most:
-            return Response(status=413, text=fault("the body is too large"), content_type="application/json")
-        body = await request.read()
-        if len(body) > call.body_most:
-            return Response(status=413, text=fault("the body is too large"), content_type="application/json")
+        try:
+            body = await read_call(request, call.body_most, self.room)
+        except CallRefusedError as why:
+            return self.refused(why)
         if call.primary and call.verb != "GET" and await self.hung_up(request):
             return Response(status=503, text=fault(UNDONE), content_type="application/json")
         try:
@@ -102,7 +113,20 @@
         except Exception as why:  # a fault of the program answers this call alone
             ring(110, call=call.handler, why=repr(why))
             status, text = 500, fault("a fault in the program")
-        return Response(status=status, text=text, content_type="application/json")
+        held = self.room.reservation(FREE)
+        if not held.grow(COPIES * len(text)):
+            # What was done is not taken back: its caller is told as where the answer is lost.
+            return Response(status=503 if call.verb == "GET" else 500)
+        response = Response(status=status, text=text, content_type="application/json")
+        response[HELD] = held
+        return response
+
+    @staticmethod
+    def refused(why: CallRefusedError) -> Response:
+        """The answer to a call whose body is not read: nothing of it was done."""
+        response = Response(status=why.status, text=fault(why.reason), content_type="application/json")
+        response.force_close()
+        return response
 
     @staticmethod
     async def hung_up(request: BaseRequest) -> bool:
--- a/pinward/exchange/calls.py
+++ b/pinward/exchange/calls.py
@@ -95,7 +95,7 @@
         return Ok(call.sheet.load(json.loads(body)))
     except ValidationError as fault:
         return Err(spell(fault.messages))
-    except ValueError as fault:
+    except (ValueError, RecursionError) as fault:
         return Err(f"the whole: cannot be read: {fault}")
 
 
--- a/pinward/exchange/host.py
+++ b/pinward/exchange/host.py
@@ -15,6 +15,8 @@
 from aiohttp.web_ws import WebSocketResponse
 
 from pinward.annunciator import ring
+from pinward.common.capacity import Capacity
+from pinward.common.client_room import ClientRoom
 from pinward.common.connection import Limits
 from pinward.common.listener import Listener
 from pinward.common.server import ClientServer
@@ -56,6 +58,7 @@
         self.ages = OrderAges(boot.bounds.ack_s)
         self.rollouts = Rollouts(self, lambda: len(self.desk.fronts), self.ages)
         self.answers = Answers(self, self.rollouts.record_first, self.ages)
+        self.answers.room = ClientRoom(Capacity(boot.memory_mb, boot.descriptors))
         self.desk = Desk(self, self.rollouts.report)
         self.dialler: Dialler | None = None
         self.sent: dict[str, tuple[str, int]] = {}  # own life and changes told to each control front
@@ -381,7 +384,7 @@
         loop = asyncio.get_running_loop()
         inner = Server(self.on_inner, access_log=None)
         await loop.create_server(inner, self.own, self.boot.inner, backlog=1024)
-        server = ClientServer(self.answers.on_call, lambda: CALLERS)
+        server = ClientServer(self.answers.on_call, lambda: CALLERS, self.answers.room)
         host, port = self.boot.bind["Ctl"]
         listener = Listener(server, (host, port), backlog=1024)
         await listener.open()
--- a/pinward/plan/schema.py
+++ b/pinward/plan/schema.py
@@ -93,7 +93,7 @@
     """A configuration, checked and ready to be looked up; an error is `field: reason`."""
     try:
         told = json.loads(body)
-    except ValueError as fault:
+    except (ValueError, RecursionError) as fault:
         return Err(f"the whole: cannot be read: {fault}")
     try:
         PLAN.load(told)
