--- a/pinward/command/gateway_experiments.py
+++ b/pinward/command/gateway_experiments.py
@@ -257,7 +257,8 @@
 
 
 def restarts(
-    *, seeds: int = 3, first: int = 0, seconds: float = 10.0, proxies: int = 3, as_json: bool = False
+    *, seeds: int = 3, first: int = 0, seconds: float = 10.0, proxies: int = 3, crowds: int = 0,
+    as_json: bool = False,
 ) -> int:  # fmt: skip
     """Restarts a gateway of real processes on loopback in series that overlap, beside reloads and changes.
 
@@ -268,10 +269,12 @@
     :param first: the first seed
     :param seconds: load of each run
     :param proxies: proxies of each run, 25 MB of memory each
+    :param crowds: crowds of hostile clients at a time, of every kind, at every listener
     :param as_json: prints JSON
     """
     found = rig("restarts_soak")
-    return soaked([found.played(seed, seconds, proxies) for seed in range(first, first + seeds)], as_json)
+    runs = [found.played(seed, seconds, proxies, crowds) for seed in range(first, first + seeds)]
+    return soaked(runs, as_json)
 
 
 def acknowledged(*, seeds: int = 3, first: int = 1, rounds: int = 4, as_json: bool = False) -> int:
--- a/standin/hostile_clients.py
+++ b/standin/hostile_clients.py
@@ -55,9 +55,13 @@
 
 
 # What stands for the requests of `KINDS` at the other listeners.
-TARGETS = {
+TARGETS: dict[str, dict[bytes, bytes]] = {
     "Edge": {},
     "Ctl": {b"POST /toy/x": b"PUT /cfg", b"/toy/x": b"/cfg", b"/toy/slow": b"/cfg", b"/toy/long": b"/cfg"},
+    "Sidecar": {
+        b"/toy/x": b"/api?do=settle", b"/toy/slow": b"/api?do=silent", b"/toy/long": b"/api?do=settle",
+        b"X-Try-Id: hostile": b"Request-Id: hostile\r\nRequest-Class: quote\r\nRequest-Timeout-Ms: 2000",
+    },
     "Up": {b"/toy/x": b"/up", b"/toy/slow": b"/up", b"/toy/long": b"/up"},
 }
 
--- a/standin/hostile_drill.py
+++ b/standin/hostile_drill.py
@@ -19,10 +19,10 @@
 import aiohttp
 from aiohttp import web
 
+from example import toy
 from standin.gateway_rig import CTL, EDGE, UP, Machine, Rig, plan
 from standin.hostile_clients import Crowd, kind_for
-from standin.processes import Process
-from standin.run_logs import run_folder
+from standin.processes import ROOT, Process
 
 MEMORY_MB = 96  # MB that a process may hold, by its settings
 DESCRIPTORS = 300  # that a process may have open, by its settings and by its limit
@@ -90,51 +90,22 @@
         return found
 
 
-class HostileDrill:
-    """A gateway of real processes, whose listener `Edge`, `Up` or `Ctl` meets one crowd after another.
+class CrowdDrill:
+    """A listener of a process that meets one crowd after another, a new process each."""
 
-    The listener's process is a new one for each crowd. `env`: its further variables.
-    """
-
-    def __init__(self, listener: str, folder: Path, env: dict[str, str] | None = None) -> None:
-        self.rig = BoundedRig(folder, cores=3, fronts=1)
-        self.processes = self.rig.processes()
-        self.core, self.proxy = self.rig.cores[0], self.rig.fronts[0]
-        places = {"Edge": (self.proxy, EDGE), "Up": (self.proxy, UP), "Ctl": (self.core, CTL)}
-        self.listener, self.where = listener, places[listener]
-        self.process = self.processes[self.where[0]]
-        self.process.env.update(env or {})
-        self.sockets = 0
-
-    @asynccontextmanager
-    async def running(self) -> AsyncIterator[None]:
-        """The gateway serves."""
-        machines: list[Any] = [BusyMachine(1), BusyMachine(2)]
-        for machine in machines:
-            await machine.start()
-        try:
-            async with self.rig.running(self.processes, machines) as http:
-                async with asyncio.timeout(SERVED_S):
-                    while (await self.rig.call(http, "PUT", "/cfg", plan(1)))[0] != 200:
-                        await asyncio.sleep(LOOK_S)
-                yield
-        finally:
-            for machine in machines:
-                await machine.runner.cleanup()
+    listener: str
+    where: tuple[str, int]
+    process: Process
+    sockets = 0  # the most that were seen
 
     def ordinary(self) -> tuple[str, dict[str, str]]:
-        """The request of an ordinary caller of the listener."""
-        base = f"http://{self.where[0]}:{self.where[1]}"
-        match self.listener:
-            case "Edge":
-                return f"{base}/toy/x", {"Host": "toy.example", "X-Try-Id": "ordinary"}
-            case "Up":
-                return f"{base}/up", {}
-        return f"{base}/cfg", {}
+        """The path and headers of an ordinary caller's request."""
+        raise NotImplementedError
 
     async def answered(self) -> bool:
         """True where one ordinary request is answered with 200 in the end, each try on a new connection."""
-        url, headers = self.ordinary()
+        path, headers = self.ordinary()
+        url = f"http://{self.where[0]}:{self.where[1]}{path}"
         limit = aiohttp.ClientTimeout(total=5.0)
         try:
             async with asyncio.timeout(SERVED_S):
@@ -166,7 +137,7 @@
         self.process.kill()
         self.process.start()
         if not await self.answered():
-            raise AssertionError("the gateway does not serve before the crowd comes")
+            raise AssertionError("the process does not serve before the crowd comes")
         bound_descriptors(self.process)
         self.sockets, logged = 0, self.process.output.stat().st_size
         crowd = Crowd(kind_for(self.listener, kind), self.where, CROWDS.get(kind, CLIENTS), BYTES)
@@ -185,6 +156,76 @@
         )  # fmt: skip
 
 
+class HostileDrill(CrowdDrill):
+    """A gateway of real processes, one of whose listeners, `Edge`, `Up` or `Ctl`, meets the crowds.
+
+    `env`: further variables of the listener's process.
+    """
+
+    def __init__(self, listener: str, folder: Path, env: dict[str, str] | None = None) -> None:
+        self.rig = BoundedRig(folder, cores=3, fronts=1)
+        self.processes = self.rig.processes()
+        core, proxy = self.rig.cores[0], self.rig.fronts[0]
+        places = {"Edge": (proxy, EDGE), "Up": (proxy, UP), "Ctl": (core, CTL)}
+        self.listener, self.where = listener, places[listener]
+        self.process = self.processes[self.where[0]]
+        self.process.env.update(env or {})
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """The gateway serves."""
+        machines: list[Any] = [BusyMachine(1), BusyMachine(2)]
+        for machine in machines:
+            await machine.start()
+        try:
+            async with self.rig.running(self.processes, machines) as http:
+                async with asyncio.timeout(SERVED_S):
+                    while (await self.rig.call(http, "PUT", "/cfg", plan(1)))[0] != 200:
+                        await asyncio.sleep(LOOK_S)
+                yield
+        finally:
+            for machine in machines:
+                await machine.runner.cleanup()
+
+    def ordinary(self) -> tuple[str, dict[str, str]]:
+        match self.listener:
+            case "Edge":
+                return "/toy/x", {"Host": "toy.example", "X-Try-Id": "ordinary"}
+            case "Up":
+                return "/up", {}
+        return "/cfg", {}
+
+
+class SidecarDrill(CrowdDrill):
+    """The sidecar before the toy fleet of `example/`."""
+
+    listener, where = "Sidecar", ("127.0.0.1", 9000)
+
+    def __init__(self, folder: Path) -> None:
+        told = json.loads((ROOT / "example/config.json").read_text())
+        told["limits"] = {**told["limits"], "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS - RESERVED}
+        config = folder / "config.json"
+        config.write_text(json.dumps(told))
+        env = {"ROUTER_CONFIG": str(config)}
+        self.process = Process("sidecar", ["pinward"], folder / "sidecar.log", env)
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """The toy fleet serves."""
+        servers = toy.start()
+        try:
+            yield
+        finally:
+            self.process.kill()
+            for server in servers:
+                server.shutdown()
+                server.server_close()
+
+    def ordinary(self) -> tuple[str, dict[str, str]]:
+        fields = {"Request-Id": "ordinary", "Request-Class": "quote", "Request-Timeout-Ms": "2000"}
+        return "/api?do=settle", fields
+
+
 def status_of(process: Process) -> Path:
     return Path(f"/proc/{process.child.pid if process.child else 0}")
 
@@ -216,17 +257,3 @@
     """Has the kernel hold a process to the descriptors of its settings."""
     assert process.child is not None
     resource.prlimit(process.child.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
-
-
-def played(listener: str, kinds: list[str], env: dict[str, str] | None = None) -> dict[str, Held]:
-    """One crowd of each kind, one after another."""
-
-    async def play() -> dict[str, Held]:
-        drill = HostileDrill(listener, folder.path, env)
-        async with drill.running():
-            return {kind: await drill.play(kind) for kind in kinds}
-
-    with run_folder(f"hostile-{listener}") as folder:
-        held = asyncio.run(play())
-        folder.keeps = any(one.faults for one in held.values())
-        return held
--- a/standin/restarts_soak.py
+++ b/standin/restarts_soak.py
@@ -5,7 +5,7 @@
 unplanned happens, so each request is served, refused before it ran, or known to its client as not read; what
 a leaving proxy gives up was sent early in the grace. Machines refuse some requests, clients send these again
 under their ids, and copies of earlier answers come in between. Judged are the records of clients and
-machines.
+machines; where hostile clients come beside them, also what processes hold.
 """
 
 from __future__ import annotations
@@ -23,6 +23,8 @@
 from pinward.switchboard.leaving import HEARD_S
 from standin.agreement import QUIET_S, Agreement, Asked
 from standin.gateway_rig import EDGE, MACHINES, SOCK, Machine, Rig, changed_plan, has_more
+from standin.hostile_drill import BoundedRig
+from standin.hostile_load import HostileLoad
 from standin.leaving import ONCE_MARK, Address, BusyClient, Outcome, Records
 from standin.refusing_machine import RefusingMachine
 from standin.run_logs import run_folder
@@ -51,6 +53,7 @@
     seconds: float
     folder: Path
     proxies: int = 3
+    crowds: int = 0  # of hostile clients, at a time
     records: Records = field(default_factory=Records)
     signals: Counter[str] = field(default_factory=Counter)
     changes: int = 0
@@ -62,7 +65,9 @@
 
     def __post_init__(self) -> None:
         self.chance = Random(self.seed)
-        self.rig = Rig(self.folder, cores=3, fronts=self.proxies)
+        rig = BoundedRig if self.crowds else Rig
+        self.rig = rig(self.folder, cores=3, fronts=self.proxies)
+        self.hostile = HostileLoad(self.seed, self.rig, self.crowds, lambda: self.over)
         self.machines = [
             RefusingMachine(f"i-{number:04d}", seed=self.seed) for number in range(1, MACHINES_COUNT + 1)
         ]
@@ -205,7 +210,8 @@
             for number in range(CLIENTS_BESIDE + CLIENTS_PER_PROXY * self.proxies)
         ]
         await asyncio.gather(
-            self.restart_proxies(), self.restart_cores(), self.reload(), self.configure(http)
+            self.restart_proxies(), self.restart_cores(), self.reload(), self.configure(http),
+            self.hostile.run(self.processes),
         )  # fmt: skip
         _, late = await asyncio.wait(clients, timeout=LATE_ANSWERS_S)
         for client in late:
@@ -239,6 +245,7 @@
                 found.append(f"{request.id}: run {ran[request.id]} times")
         found += self.run_though_refused()
         found += [f"{ip}: did not end within its grace" for ip in self.not_ended]
+        found += self.hostile.faults if self.crowds else []
         return found + self.ended + self.disagreements
 
     def run_though_refused(self) -> list[str]:
@@ -265,14 +272,15 @@
             **self.records.counts, "refused_connections": self.records.refused_connections,
             "repeats": len(self.records.requests) - len({one.id for one in self.records.requests}),
             "copies": sum(machine.copies for machine in self.machines),
+            **(self.hostile.figures() if self.crowds else {}),
             **self.signals, "changes": self.changes, "faults": len(self.faults),
         }  # fmt: skip
 
 
-def played(seed: int, seconds: float, proxies: int = 3) -> RestartsSoak:
+def played(seed: int, seconds: float, proxies: int = 3, crowds: int = 0) -> RestartsSoak:
     """One run, whole."""
     with run_folder(f"restarts-{seed}") as folder:
-        soak = RestartsSoak(seed, seconds, folder.path, proxies)
+        soak = RestartsSoak(seed, seconds, folder.path, proxies, crowds)
         asyncio.run(soak.run())
         folder.keeps = bool(soak.faults)
         return soak
--- a/tests/test_gateway_hostile_clients.py
+++ b/tests/test_gateway_hostile_clients.py
@@ -13,11 +13,13 @@
 from typing import Any
 
 from testtools import TestCase
-from testtools.matchers import Equals
+from testtools.matchers import Equals, GreaterThan
 
+from standin import restarts_soak
 from standin.hostile_clients import KINDS
-from standin.hostile_drill import HostileDrill
+from standin.hostile_drill import CrowdDrill, HostileDrill, SidecarDrill
 
+SOAK_SEED, SOAK_S, SOAK_CROWDS = 700, 6.0, 6
 PURE_PYTHON = {"AIOHTTP_NO_EXTENSIONS": "1"}  # has aiohttp parse by its Python code
 
 
@@ -27,13 +29,17 @@
     listener: str
     env: dict[str, str] = {}
 
+    @classmethod
+    def made(cls, folder: Path) -> CrowdDrill:
+        return HostileDrill(cls.listener, folder, cls.env)
+
     @classmethod
     def setUpClass(cls) -> None:
         stack = AsyncExitStack()
         folder = tempfile.TemporaryDirectory()
         stack.callback(folder.cleanup)
         cls.runner, cls.stack = asyncio.Runner(), stack
-        cls.drill = HostileDrill(cls.listener, Path(folder.name), cls.env)
+        cls.drill = cls.made(Path(folder.name))
         cls.runner.run(stack.enter_async_context(cls.drill.running()))
 
     @classmethod
@@ -68,3 +74,22 @@
 
 class Ctl(Crowds, TestCase):
     listener = "Ctl"
+
+
+class CtlInPython(Crowds, TestCase):
+    listener, env = "Ctl", PURE_PYTHON
+
+
+class Sidecar(Crowds, TestCase):
+    @classmethod
+    def made(cls, folder: Path) -> CrowdDrill:
+        return SidecarDrill(folder)
+
+
+class Soak(TestCase):
+    """The short form of `pinward gateway restarts --crowds`."""
+
+    def test_restarts_reloads_and_changes_beside_hostile_clients(self) -> None:
+        soak = restarts_soak.played(SOAK_SEED, SOAK_S, crowds=SOAK_CROWDS)
+        self.assertThat(soak.faults, Equals([]))
+        self.assertThat(soak.hostile.played, GreaterThan(0))
