Connections to machines are bounded by descriptors, idle ones ending for others

Found by the new soak: with descriptors for 100 sockets a proxy refused 9 of 24 ordinary requests at once (503), as half of the places for machines was kept for idle connections. Now all of them may be at work, and an idle one ends where a new one needs its place. The mark of an answer's room is typed.

--- a/pinward/common/capacity.py
+++ b/pinward/common/capacity.py
@@ -16,7 +16,7 @@
 FREE = 16 * 1024  # bytes of a request that are not counted: an ordinary one is never refused for lack of room
 RESERVED = 200  # descriptors that the platform keeps for files
 CLIENT_PART = 0.6  # of the others, for clients
-MACHINE_PART = 0.3  # of the others, for connections to machines: one half at work, one half kept
+MACHINE_PART = 0.3  # of the others, for connections to machines
 SMALL = 16  # connections of a listener that serves the platform alone
 
 
@@ -46,5 +46,5 @@
 
     @property
     def sends(self) -> int:
-        """Requests under way to machines at a time, and idle connections to machines that are kept."""
-        return max(SMALL // 2, int(MACHINE_PART * (self.descriptors - RESERVED) / 2))
+        """Requests under way to machines at a time, and connections to machines, idle ones with them."""
+        return max(SMALL, int(MACHINE_PART * (self.descriptors - RESERVED)))
--- a/pinward/common/reading.py
+++ b/pinward/common/reading.py
@@ -9,6 +9,7 @@
 from collections import deque
 from typing import Any
 
+from aiohttp.helpers import ResponseKey
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.http_parser import RawRequestMessage
 from aiohttp.http_writer import HttpVersion11
@@ -25,7 +26,7 @@
 from pinward.common.intake import HeadTooLongError, Intake
 from pinward.common.refusals import RefusedError, Refusal
 
-HELD = "held"  # mark of an answer: the reservation for its body
+HELD = ResponseKey("held", Reservation)  # of an answer: the room for its body
 FIELD_BYTES = 400  # of memory for each header field of a parsed head
 TEXT_BYTES = 3  # of memory for each byte of a parsed head
 BODY_BYTES = 48 * 1024  # at the most of a body that waits to be read
@@ -54,11 +55,8 @@
 
 def memory_of(message: RawRequestMessage, head: int) -> int:
     """Bytes of memory that a request may take until it is looked at."""
-    length = message.headers.get("Content-Length")
-    if message.chunked:
-        body = CHUNKED_BYTES
-    else:
-        body = min(int(length), BODY_BYTES) if length is not None else 0
+    told = min(int(message.headers.get("Content-Length", "0")), BODY_BYTES)
+    body = CHUNKED_BYTES if message.chunked else told
     return len(message.raw_headers) * FIELD_BYTES + head * TEXT_BYTES + body
 
 
@@ -191,7 +189,7 @@
         if self.weights:
             held.give_back(self.weights.popleft())
         reservation = response.get(HELD)
-        if isinstance(reservation, Reservation):
+        if reservation is not None:
             reservation.release()
         if isinstance(response, Response):
             response.body = None  # aiohttp keeps the answer until the next one
--- a/pinward/switchboard/forwarding.py
+++ b/pinward/switchboard/forwarding.py
@@ -359,5 +359,6 @@
             return own_answer(reply.status, reply.back_s)
         headers = CIMultiDict((key, value) for key, value in reply.ending.headers if key != NOT_RUN)
         response = Response(status=reply.status, body=reply.ending.body, headers=headers)
-        response[HELD] = reply.ending.held
+        if reply.ending.held is not None:
+            response[HELD] = reply.ending.held
         return response
--- a/pinward/switchboard/kept.py
+++ b/pinward/switchboard/kept.py
@@ -138,11 +138,11 @@
 class Channels(aiohttp.TCPConnector):
     """The pool of connections to machines; with `kept` false each send has one of its own."""
 
-    def __init__(self, kept: bool, watch: AnswerWatch, idle_most: float = inf) -> None:
-        """`idle_most`: connections that are kept without a request."""
+    def __init__(self, kept: bool, watch: AnswerWatch, most: float = inf) -> None:
+        """`most`: connections, from which on idle ones end for others."""
         more: dict[str, Any] = {"keepalive_timeout": REST_S} if kept else {"force_close": True}
         super().__init__(limit=0, use_dns_cache=False, **more)
-        self.watch, self.idle_most = watch, idle_most
+        self.watch, self.most = watch, most
         self._factory = cast("partial[ResponseHandler]", partial(Channel, loop=self._loop, watch=watch))
 
     async def connect(self, req: ClientRequest, traces: Any, timeout: aiohttp.ClientTimeout) -> Connection:
@@ -151,6 +151,8 @@
         Raises NothingSentError where it is gone.
         """
         CONNECTING_ID.set(req.headers.get(ID))
+        if not self._conns.get(req.connection_key):
+            self.end_idle()
         made = await super().connect(req, traces=traces, timeout=timeout)
         channel = made.protocol
         if not isinstance(channel, Channel) or not channel.is_connected():
@@ -189,15 +191,15 @@
             connection.release()
             channel.since = since  # it rests since it was last used
 
-    @property
-    def idle(self) -> int:
-        """Connections that are kept without a request."""
-        return sum(map(len, self._conns.values()))
+    def end_idle(self) -> None:
+        """Ends an idle connection, of those to the machine with the most, where there are too many in all."""
+        idle = max(self._conns.values(), key=len, default=None)
+        if idle and len(self._acquired) + sum(map(len, self._conns.values())) >= self.most:
+            idle.popleft()[0].close()
 
     def _release(self, key: ConnectionKey, protocol: ResponseHandler, *, should_close: bool = False) -> None:
         if isinstance(protocol, Channel):
             if protocol.broken_off:
                 protocol.reset()
             protocol.rests()
-        should_close = should_close or self.idle >= self.idle_most
         super()._release(key, protocol, should_close=should_close)
--- a/pinward/switchboard/wire.py
+++ b/pinward/switchboard/wire.py
@@ -41,10 +41,10 @@
 DEADLINE, WANT, STAMP, LOAD = "X-Deadline-Ms", "X-Want-Machine", "X-Stamp", "X-Load"
 
 
-def client(kept: bool, watch: AnswerWatch, idle_most: float) -> aiohttp.ClientSession:
+def client(kept: bool, watch: AnswerWatch, connections: float) -> aiohttp.ClientSession:
     """A session whose connections are kept, or one with a connection of its own for each send."""
     made = aiohttp.ClientSession(
-        connector=Channels(kept, watch, idle_most), cookie_jar=aiohttp.DummyCookieJar(), trust_env=False,
+        connector=Channels(kept, watch, connections), cookie_jar=aiohttp.DummyCookieJar(), trust_env=False,
         auto_decompress=False, skip_auto_headers=AUTO,
     )  # fmt: skip
     made._retry_connection = False  # it would send again what may have run
@@ -83,10 +83,10 @@
 class Wire:
     """Sends to machines."""
 
-    def __init__(self, watch: AnswerWatch | None = None, idle_most: float = inf) -> None:
-        """`idle_most`: connections that are kept without a request."""
+    def __init__(self, watch: AnswerWatch | None = None, connections: float = inf) -> None:
+        """`connections`: to machines, from which on idle ones end for others."""
         watch = watch or AnswerWatch(Metrics())
-        self.kept, self.single = client(True, watch, idle_most), client(False, watch, 0)
+        self.kept, self.single = client(True, watch, connections), client(False, watch, connections)
 
     async def close(self) -> None:
         await self.kept.close()
