A slow reader of its last answer has the idle time; reads after a body in chunks are whole again

Found by reading: a connection that closes was ended after 1 s without a byte taken, which a client on a slow line may need between two windows; now Idle, and a third of it where newcomers need the place. After a body in short chunks the next head was read 512 bytes at a time. Tests of limits, places and connections pass.

--- a/pinward/common/reading.py
+++ b/pinward/common/reading.py
@@ -133,12 +133,12 @@
             return
         self.weights.append(weight)
         self.payload, self.framing, self.body_seen = payload, 0, 0
+        self.read_at_a_time(CHUNKED_READ if message.chunked else READ_MOST)
         if message.method == "CONNECT" or (message.upgrade and payload.is_eof()):
             self.stop()  # no other protocol is spoken here: what follows is none of ours
         elif not payload.is_eof():
             length = message.headers.get("Content-Length")
             self.intake.begin_body(None if message.chunked or length is None else int(length))
-            self.read_at_a_time(CHUNKED_READ if message.chunked else READ_MOST)
 
     def read_at_a_time(self, most: int) -> None:
         """Bounds what one turn of the loop reads and parses of this connection, in bytes."""
--- a/pinward/common/server.py
+++ b/pinward/common/server.py
@@ -26,6 +26,7 @@
 
 DRAIN_STEP_S = 0.02  # s between looks at connections while the server leaves
 AHEAD_GREEDY = 8  # requests that wait on a connection, beyond which it ends where newcomers need its place
+YIELD_PART = 1 / 3  # of the idle time, in which a client that ends for newcomers must take of its answers
 ROOM_STEP_S = 0.1  # s between two searches for connections that may end for newcomers
 
 TCP_ENDED = (7, 8, 9)  # Linux: closed, close-wait (the peer has ended its side), last-ack
@@ -144,7 +145,7 @@
         """Ends a connection whose client takes no answer; True where it did."""
         if self.output is None or self.output.transport.is_closing() and not self.output.waiting:
             return False
-        most_s = LINGER_S if self.yields or self.output.transport.is_closing() else limits.idle_s
+        most_s = YIELD_PART * limits.idle_s if self.yields else limits.idle_s
         if self.output.stalled_s(now) <= max(LINGER_S, most_s):
             return False
         self.depart()
