Clients that reset their connections leave no traceback and no event 110

Cause: the kernel knows of a reset before the loop does; the end of our side then fails, and aiohttp logs it at length, once a connection, without bound. Change: both are taken as the client's leave.

--- a/pinward/common/server.py
+++ b/pinward/common/server.py
@@ -10,6 +10,7 @@
 import asyncio
 import socket
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from math import inf
 from typing import Any
 
@@ -177,7 +178,8 @@
         message: str | None = None,
     ) -> StreamResponse:
         """The answer where a handler failed. Nothing that a client sent is told or logged."""
-        ring(110, why=repr(exc))
+        if not isinstance(exc, ConnectionError):  # else its client left while its request was read
+            ring(110, why=repr(exc))
         response = Response(status=status)
         response.force_close()
         return response
@@ -205,7 +207,8 @@
                 self.stop()
             self.life.answered(self._loop.time(), server.limits())
         if self.life.phase is Phase.CLOSING and self.transport is not None and self.transport.can_write_eof():
-            self.transport.write_eof()  # what still comes is read and dropped until the client ends too
+            with suppress(OSError):  # its client has reset it, which is heard in the next turn of the loop
+                self.transport.write_eof()  # what still comes is read and dropped until the client ends too
         return done
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/pinward/exchange/call_body.py
+++ b/pinward/exchange/call_body.py
@@ -41,6 +41,6 @@
     except RefusedError as why:
         room.refusals.requests[why.refusal].add()
         raise CallRefusedError(why.refusal.value, "the body cannot be read") from None
-    except RequestPayloadError:
+    except (RequestPayloadError, ConnectionError):
         raise CallRefusedError(400, "the body cannot be read") from None
     return bytes(body)
--- a/tests/test_gateway_client_places.py
+++ b/tests/test_gateway_client_places.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+from asyncio import selector_events
 from collections.abc import Awaitable, Callable
 from typing import Any
 from unittest import mock
@@ -138,6 +140,21 @@
         self.assertThat(server.room.refusals.stalled.value, Equals(1))
         self.assertThat(server.room.held.used, Equals(0))
 
+    def test_a_client_that_resets_its_connection_leaves_no_traceback(self) -> None:
+        """Guards against a traceback in the log for each client that is refused and resets."""
+        gone = OSError(errno.ENOTCONN, "Transport endpoint is not connected")
+
+        async def play(server: Crowded, connect: Connect) -> None:
+            reader, writer = await connect()
+            writer.write(b"no HTTP\r\n\r\n")
+            self.assertThat((await reader.readuntil(b"\r\n")).split()[1], Equals(b"400"))
+
+        with (
+            self.assertNoLogs("aiohttp.server", "ERROR"),
+            mock.patch.object(selector_events._SelectorSocketTransport, "write_eof", side_effect=gone),
+        ):
+            self.played(play)
+
     def test_who_may_yield(self) -> None:
         """Each phase, a moment after it began and long after."""
         expected = {
