A connection that closes between two looks, its answer unsent, ends too

Found by reading the change once more: a connection that closed with bytes unsent, and had none at the look before, was passed over at each later look, so that a client that reads nothing kept its descriptor for ever. Cause: a condition on what the last look saw. Change: the condition is gone; each look measures.

--- a/pinward/common/server.py
+++ b/pinward/common/server.py
@@ -144,7 +144,7 @@
 
     def end_stuck(self, now: float, limits: Limits) -> bool:
         """Ends a connection whose client takes no answer; True where it did."""
-        if self.output is None or self.output.transport.is_closing() and not self.output.waiting:
+        if self.output is None:
             return False
         most_s = YIELD_PART * limits.idle_s if self.yields else limits.idle_s
         if self.output.stalled_s(now) <= max(LINGER_S, most_s):
--- a/tests/test_gateway_client_places.py
+++ b/tests/test_gateway_client_places.py
@@ -20,7 +20,7 @@
 from pinward.common.connection import Connection, Limits, Phase
 from pinward.common.held_bytes import HeldBytes, Reservation
 from pinward.common.refusals import RefusedError, Refusal
-from pinward.common.server import ClientServer
+from pinward.common.server import ClientConnection, ClientServer, Output
 from pinward.directory.entry import Entry, Standing
 from pinward.switchboard.lines import Lines
 from pinward.switchboard.request_body import BodyTooLongError, StreamedBody, read_body
@@ -155,6 +155,19 @@
         ):
             self.played(play)
 
+    def test_one_that_closes_with_bytes_unsent_ends_though_none_were_seen_before(self) -> None:
+        """Guards against a connection that closes between two looks and keeps its descriptor for ever."""
+
+        async def looked() -> tuple[bool, bool]:
+            connection = ClientServer(mock.AsyncMock(), lambda: LIMITS)()
+            assert isinstance(connection, ClientConnection)
+            transport = mock.Mock()
+            transport.is_closing.return_value, transport.get_write_buffer_size.return_value = True, 9
+            connection.output = Output(transport)
+            return connection.end_stuck(1.0, LIMITS), connection.end_stuck(9.0, LIMITS)
+
+        self.assertThat(asyncio.run(looked()), Equals((False, True)))
+
     def test_who_may_yield(self) -> None:
         """Each phase, a moment after it began and long after."""
         expected = {
